feat: blackboard, core types and one path from answers to a carried call

Cause: an empty repository. Change: the folders, the blackboard with one writer a section, the types of configuration, membership and messages, acceptance and submission as pure steps, and a thin daemon that reads the head row, fetches the parts and passes a call to a backend server of its host.

--- /dev/null
+++ b/packages/core/src/generation/generateConfiguration.ts
@@ -0,0 +1,126 @@
+import type { ResolvedAnswers, ResolvedServiceAnswers } from "../answers/answers.js";
+import { canonicalBytes, contentHash } from "../configuration/canonical.js";
+import type { Manifest, ManifestEntry, Parts } from "../configuration/manifest.js";
+import type { Caller, Partner, Resource, ResourceName, Route, Service } from "../configuration/resource.js";
+import { referencesOf, ResourceKind, resourceName } from "../configuration/resource.js";
+import { defaultShare, internalPartner } from "../constants.js";
+
+export interface GeneratedConfiguration {
+    readonly manifest: Manifest;
+    readonly parts: Parts;
+}
+
+export interface GenerationOptions {
+    version: number;
+}
+
+/** Marks a resource that every host which accepts outside callers needs. */
+const everyEntry = "*";
+
+/**
+ * Generates the configuration of one version. Equal answers give equal bytes.
+ *
+ * @example
+ * ```ts
+ * const { manifest, parts } = generateConfiguration(resolveAnswers(answers), { version: 4 });
+ * ```
+ */
+export function generateConfiguration(
+    answers: ResolvedAnswers,
+    options: GenerationOptions,
+): GeneratedConfiguration {
+    const resources = generateResources(answers);
+    const neededBy = findNeeds(answers, resources);
+    const parts = new Map<string, Uint8Array>();
+    const entries: Record<ResourceName, ManifestEntry> = {};
+    for (const [name, resource] of resources) {
+        const bytes = canonicalBytes(resource);
+        const hash = contentHash(bytes);
+        parts.set(hash, bytes);
+        entries[name] = { hash, references: referencesOf(resource), neededBy: neededBy.get(name) ?? [] };
+    }
+    return { manifest: { version: options.version, entries }, parts };
+}
+
+function generateResources(answers: ResolvedAnswers): Map<ResourceName, Resource> {
+    const resources: Resource[] = [
+        ...generatePartners(answers),
+        ...Object.entries(answers.callers).map(([name, caller]) => generateCaller(name, caller.partner)),
+        ...Object.entries(answers.services).flatMap(([name, service]) => [
+            generateService(name, service),
+            generateRoute(name, service, answers),
+        ]),
+    ];
+    const named = resources.map(resource => [resourceName(resource.kind, resource.name), resource] as const);
+    return new Map(named.sort(([a], [b]) => (a < b ? -1 : 1)));
+}
+
+function generatePartners(answers: ResolvedAnswers): Partner[] {
+    const internal: Partner = { kind: ResourceKind.Partner, name: internalPartner, share: defaultShare };
+    const named = Object.entries(answers.partners).map(([name, partner]): Partner => ({
+        kind: ResourceKind.Partner,
+        name,
+        share: partner.share,
+    }));
+    return [internal, ...named.filter(partner => partner.name !== internalPartner)];
+}
+
+function generateCaller(name: string, partner: string = internalPartner): Caller {
+    return { kind: ResourceKind.Caller, name, partner: resourceName(ResourceKind.Partner, partner) };
+}
+
+function generateService(name: string, service: ResolvedServiceAnswers): Service {
+    return {
+        kind: ResourceKind.Service,
+        name,
+        slots: service.slots,
+        connections: service.connections,
+        drainMs: service.drainSeconds * 1_000,
+        coldStartMs: service.coldStartMs,
+        ...(service.healthPath === undefined ? {} : { healthPath: service.healthPath }),
+    };
+}
+
+function generateRoute(name: string, service: ResolvedServiceAnswers, answers: ResolvedAnswers): Route {
+    const callers = Object.entries(answers.callers)
+        .filter(([, caller]) => caller.mayCall.includes(name))
+        .map(([caller]) => resourceName(ResourceKind.Caller, caller))
+        .sort();
+    return {
+        kind: ResourceKind.Route,
+        name,
+        service: resourceName(ResourceKind.Service, name),
+        callers,
+        operations: service.operations,
+    };
+}
+
+/** A route is needed where its callers enter and on the hosts of its own service. */
+function findNeeds(
+    answers: ResolvedAnswers,
+    resources: Map<ResourceName, Resource>,
+): Map<ResourceName, string[]> {
+    const needs = new Map<ResourceName, Set<string>>();
+    for (const service of Object.keys(answers.services)) {
+        const callers = Object.values(answers.callers).filter(caller => caller.mayCall.includes(service));
+        const users = [service, ...callers.map(caller => caller.service ?? everyEntry)];
+        addNeeds(resourceName(ResourceKind.Route, service), users, resources, needs);
+    }
+    return new Map([...needs].map(([name, users]) => [name, [...users].sort()]));
+}
+
+function addNeeds(
+    name: ResourceName,
+    users: readonly string[],
+    resources: Map<ResourceName, Resource>,
+    needs: Map<ResourceName, Set<string>>,
+): void {
+    const resource = resources.get(name);
+    if (resource === undefined) {
+        return;
+    }
+    const known = needs.get(name) ?? new Set<string>();
+    users.forEach(user => known.add(user));
+    needs.set(name, known);
+    referencesOf(resource).forEach(reference => addNeeds(reference, users, resources, needs));
+}
--- /dev/null
+++ b/packages/core/src/messages/peerMessage.ts
@@ -0,0 +1,168 @@
+import type { Manifest, ManifestEntry } from "../configuration/manifest.js";
+import type { ResourceName } from "../configuration/resource.js";
+import type { HostRecord } from "../membership/record.js";
+
+/** Messages between daemons. Encoding is the business of the peer adapter alone. */
+
+export const MessageKind = {
+    Heartbeat: "heartbeat",
+    Records: "records",
+    Digest: "digest",
+    RecordRequest: "recordRequest",
+    Announce: "announce",
+    Update: "update",
+    Pull: "pull",
+    Snapshot: "snapshot",
+    PartRequest: "partRequest",
+    Parts: "parts",
+    WatermarkRequest: "watermarkRequest",
+    Watermark: "watermark",
+    FateRequest: "fateRequest",
+    Fate: "fate",
+} as const;
+export type MessageKind = (typeof MessageKind)[keyof typeof MessageKind];
+
+/** Bytes of one resource with their hash. */
+export interface Part {
+    readonly hash: string;
+    readonly bytes: Uint8Array;
+}
+
+/** Difference between the manifests of two consecutive versions. */
+export interface ManifestDelta {
+    readonly changed: Readonly<Record<ResourceName, ManifestEntry>>;
+    readonly removed: readonly ResourceName[];
+}
+
+/** One step from a version to the next one. */
+export interface UpdateStep {
+    readonly base: number;
+    readonly version: number;
+    /** Hash of the whole manifest after the step. */
+    readonly manifestHash: string;
+    readonly delta: ManifestDelta;
+}
+
+export interface Heartbeat {
+    readonly kind: typeof MessageKind.Heartbeat;
+    readonly version: number;
+    readonly manifestHash: string;
+}
+
+export interface Records {
+    readonly kind: typeof MessageKind.Records;
+    readonly records: readonly HostRecord[];
+}
+
+/** Hashes of the records in each bucket, for anti-entropy. */
+export interface Digest {
+    readonly kind: typeof MessageKind.Digest;
+    readonly buckets: readonly number[];
+}
+
+/** Asks for the records of the buckets that differ. */
+export interface RecordRequest {
+    readonly kind: typeof MessageKind.RecordRequest;
+    readonly buckets: readonly number[];
+}
+
+export interface Announce {
+    readonly kind: typeof MessageKind.Announce;
+    readonly version: number;
+    readonly manifestHash: string;
+}
+
+/** A chain of steps, oldest first, with the parts that they bring. */
+export interface Update {
+    readonly kind: typeof MessageKind.Update;
+    readonly steps: readonly UpdateStep[];
+    readonly parts: readonly Part[];
+}
+
+/** Asks for whatever leads from the held version to the newest one. */
+export interface Pull {
+    readonly kind: typeof MessageKind.Pull;
+    readonly held: number;
+}
+
+export interface Snapshot {
+    readonly kind: typeof MessageKind.Snapshot;
+    readonly manifest: Manifest;
+    readonly manifestHash: string;
+    readonly parts: readonly Part[];
+}
+
+export interface PartRequest {
+    readonly kind: typeof MessageKind.PartRequest;
+    readonly hashes: readonly string[];
+}
+
+export interface PartsMessage {
+    readonly kind: typeof MessageKind.Parts;
+    readonly parts: readonly Part[];
+    /** Hashes that the sender does not hold. */
+    readonly missing: readonly string[];
+}
+
+export interface WatermarkRequest {
+    readonly kind: typeof MessageKind.WatermarkRequest;
+    readonly host: string;
+}
+
+/** Highest version and incarnation that the sender saw on a host, and what the sender holds. */
+export interface Watermark {
+    readonly kind: typeof MessageKind.Watermark;
+    readonly host: string;
+    readonly version: number;
+    readonly incarnation: number;
+    readonly held: number;
+}
+
+export interface FateRequest {
+    readonly kind: typeof MessageKind.FateRequest;
+    readonly callId: string;
+}
+
+export const CallFate = {
+    /** Never admitted here, and from now on barred from being admitted. */
+    Barred: "barred",
+    Running: "running",
+    Finished: "finished",
+} as const;
+export type CallFate = (typeof CallFate)[keyof typeof CallFate];
+
+export interface Fate {
+    readonly kind: typeof MessageKind.Fate;
+    readonly callId: string;
+    readonly fate: CallFate;
+    /** Incarnation of the daemon that answers; another one than the call was sent to cannot know. */
+    readonly incarnation: number;
+}
+
+export type PeerMessage =
+    | Heartbeat
+    | Records
+    | Digest
+    | RecordRequest
+    | Announce
+    | Update
+    | Pull
+    | Snapshot
+    | PartRequest
+    | PartsMessage
+    | WatermarkRequest
+    | Watermark
+    | FateRequest
+    | Fate;
+
+/** A message to send: to one host, or to every linked host but the named ones. */
+export interface OutgoingMessage {
+    readonly to: { readonly host: string } | { readonly allBut: readonly string[] };
+    readonly message: PeerMessage;
+}
+
+export interface IncomingMessage {
+    readonly from: string;
+    readonly receivedAt: number;
+    readonly message: PeerMessage;
+}
--- /dev/null
+++ b/packages/core/src/platform/operation.ts
@@ -0,0 +1,87 @@
+/** Requests to the platform's table service and object store, and their results. */
+
+export const PlatformOperation = {
+    ReadRow: "readRow",
+    WriteRow: "writeRow",
+    ListRows: "listRows",
+    ReadObject: "readObject",
+    WriteObject: "writeObject",
+} as const;
+export type PlatformOperation = (typeof PlatformOperation)[keyof typeof PlatformOperation];
+
+export interface RowTag {
+    readonly key: string;
+    readonly tag: string;
+}
+
+export type PlatformRequest =
+    | {
+          readonly operation: typeof PlatformOperation.ReadRow;
+          readonly key: string;
+          readonly knownTag?: string;
+      }
+    | {
+          readonly operation: typeof PlatformOperation.WriteRow;
+          readonly key: string;
+          readonly row: unknown;
+          /** Tag of the row that the write replaces; without it the row must not exist. */
+          readonly expectedTag?: string;
+          /** Other rows that must be unchanged in the same transaction. */
+          readonly unchanged?: readonly RowTag[];
+      }
+    | {
+          readonly operation: typeof PlatformOperation.ListRows;
+          readonly prefix: string;
+          /** Only rows whose key sorts after this one. */
+          readonly after?: string;
+      }
+    | { readonly operation: typeof PlatformOperation.ReadObject; readonly hash: string }
+    | {
+          readonly operation: typeof PlatformOperation.WriteObject;
+          readonly hash: string;
+          readonly bytes: Uint8Array;
+      };
+
+export const PlatformAnswer = {
+    Row: "row",
+    Rows: "rows",
+    Object: "object",
+    Unchanged: "unchanged",
+    Missing: "missing",
+    Written: "written",
+    /** The condition of a write did not hold; the write did not take effect. */
+    Conflict: "conflict",
+    /** Refused before any effect, because the platform limits its rate. */
+    Refused: "refused",
+    /** No answer came; a write may or may not have taken effect. */
+    Lost: "lost",
+} as const;
+export type PlatformAnswer = (typeof PlatformAnswer)[keyof typeof PlatformAnswer];
+
+export interface TaggedRow {
+    readonly key: string;
+    readonly tag: string;
+    readonly row: unknown;
+}
+
+export type PlatformResult =
+    | { readonly answer: typeof PlatformAnswer.Row; readonly row: unknown; readonly tag: string }
+    | { readonly answer: typeof PlatformAnswer.Rows; readonly rows: readonly TaggedRow[] }
+    | { readonly answer: typeof PlatformAnswer.Object; readonly bytes: Uint8Array }
+    | { readonly answer: typeof PlatformAnswer.Unchanged }
+    | { readonly answer: typeof PlatformAnswer.Missing }
+    | { readonly answer: typeof PlatformAnswer.Written; readonly tag: string }
+    | { readonly answer: typeof PlatformAnswer.Conflict }
+    | { readonly answer: typeof PlatformAnswer.Refused; readonly message: string }
+    | { readonly answer: typeof PlatformAnswer.Lost; readonly message: string };
+
+/** A request on the blackboard, with the id by which its writer finds the result. */
+export interface PlatformCommand {
+    readonly id: string;
+    readonly request: PlatformRequest;
+}
+
+export interface PlatformReply {
+    readonly id: string;
+    readonly result: PlatformResult;
+}
--- /dev/null
+++ b/packages/core/src/problem.ts
@@ -0,0 +1,47 @@
+/** Error values. Every outcome that can fail is an `Either<Problem, …>`. */
+
+export const ProblemCode = {
+    InvalidSetting: "invalidSetting",
+    InvalidAnswer: "invalidAnswer",
+    Unreadable: "unreadable",
+    PlatformUnreachable: "platformUnreachable",
+    OutcomeUnknown: "outcomeUnknown",
+    Conflict: "conflict",
+    NotFound: "notFound",
+    AlreadyDecided: "alreadyDecided",
+    HashMismatch: "hashMismatch",
+    DanglingReference: "danglingReference",
+    WrongBase: "wrongBase",
+    OlderVersion: "olderVersion",
+    MalformedMessage: "malformedMessage",
+    Unauthorized: "unauthorized",
+    Overloaded: "overloaded",
+} as const;
+export type ProblemCode = (typeof ProblemCode)[keyof typeof ProblemCode];
+
+export interface Problem {
+    /** Stable across releases. */
+    readonly code: ProblemCode;
+    /** Names the offending value. */
+    readonly message: string;
+    /** File, path, question or row at which the problem stands. */
+    readonly where?: string;
+    /** What a person can do next. */
+    readonly nextStep?: string;
+}
+
+/**
+ * Creates an error value.
+ *
+ * @example
+ * ```ts
+ * problem(ProblemCode.NotFound, "revision 12 does not exist", { nextStep: "run `tanagertray revisions`" });
+ * ```
+ */
+export function problem(
+    code: ProblemCode,
+    message: string,
+    details: { where?: string; nextStep?: string } = {},
+): Problem {
+    return { code, message, ...details };
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,6 @@
+/** Public entry of the daemon, for programs that embed it. */
+export * from "./board.js";
+export * from "./closeable.js";
+export * from "./start.js";
+export * from "./settings/settings.js";
+export * from "./settings/resolveSettings.js";
--- /dev/null
+++ b/packages/daemon/src/settings/resolveSettings.ts
@@ -0,0 +1,40 @@
+import { Spread, TraceExporter, type Endpoint, type ResolvedSettings, type Settings } from "./settings.js";
+
+/**
+ * Fills in every default of checked settings.
+ *
+ * @example
+ * ```ts
+ * const resolved = resolveSettings(settings);
+ * resolved.spread; // "eager"
+ * ```
+ */
+export function resolveSettings(settings: Settings): ResolvedSettings {
+    return {
+        host: settings.host,
+        failureDomain: settings.failureDomain,
+        region: settings.region,
+        listen: {
+            calls: parseEndpoint(settings.listen.calls),
+            peer: parseEndpoint(settings.listen.peer),
+            admin: parseEndpoint(settings.listen.admin),
+        },
+        platform: { url: settings.platform.url },
+        peers: settings.peers ?? [],
+        keys: settings.keys,
+        spread: settings.spread ?? Spread.Eager,
+        outsideCallers: settings.outsideCallers ?? true,
+        log: { level: settings.log?.level ?? "info" },
+        traces: { exporter: settings.traces?.exporter ?? TraceExporter.None, url: settings.traces?.url },
+    };
+}
+
+/** Splits `address:port`. */
+export function parseEndpoint(text: string): Endpoint {
+    const colon = text.lastIndexOf(":");
+    return { address: text.slice(0, colon), port: Number(text.slice(colon + 1)) };
+}
+
+export function formatEndpoint(endpoint: Endpoint): string {
+    return `${endpoint.address}:${endpoint.port}`;
+}
