feat(core): events and spans as sections of the blackboard

Cause: controllers need logs and counters without a shared logger, which would be a second writer. Conclusion: logging stays out of the decisions.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,3 +20,5 @@
 export * from "./messages/peerMessage.js";
 export * from "./admission/backendServer.js";
 export * from "./joining/readiness.js";
+export * from "./telemetry/event.js";
+export * from "./telemetry/span.js";
--- a/packages/daemon/src/board.ts
+++ b/packages/daemon/src/board.ts
@@ -5,6 +5,7 @@
     type BackendServer,
     type Blackboard,
     type ConfigurationState,
+    type Event,
     type Feed,
     type Head,
     type HostRecord,
@@ -15,6 +16,7 @@
     type Problem,
     type Readiness,
     type Revision,
+    type Span,
     type Value,
 } from "@tanagertray/core";
 import type { Either } from "purify-ts/Either";
@@ -105,6 +107,16 @@
     backendServers: Value<ReadonlyMap<string, BackendServer>>;
     revisionCommands: Feed<RevisionCommand>;
     revisionReplies: Feed<RevisionReply>;
+    callsOutbox: Feed<OutgoingMessage>;
+    spans: Feed<Span>;
+    peerEvents: Feed<Event>;
+    membershipEvents: Feed<Event>;
+    configurationEvents: Feed<Event>;
+    readinessEvents: Feed<Event>;
+    platformEvents: Feed<Event>;
+    callEvents: Feed<Event>;
+    backendServerEvents: Feed<Event>;
+    operatorEvents: Feed<Event>;
 }
 
 export type Board = Blackboard<Sections>;
@@ -138,6 +150,16 @@
             announcements: feedCapacity,
             revisionCommands: feedCapacity,
             revisionReplies: feedCapacity,
+            callsOutbox: feedCapacity,
+            spans: feedCapacity,
+            peerEvents: feedCapacity,
+            membershipEvents: feedCapacity,
+            configurationEvents: feedCapacity,
+            readinessEvents: feedCapacity,
+            platformEvents: feedCapacity,
+            callEvents: feedCapacity,
+            backendServerEvents: feedCapacity,
+            operatorEvents: feedCapacity,
         },
     });
 }
