--- /dev/null
+++ b/packages/core/src/admission/admission.ts
@@ -0,0 +1,223 @@
+import { refusal, RefusalReason, type Refusal } from "../calls/refusal.js";
+import type { Service } from "../configuration/resource.js";
+import { hasLease } from "./announcement.js";
+import { BackendServerState, type BackendServer } from "./backendServer.js";
+
+/** Calls of one service that may wait on a host. */
+export const maxQueuedCalls = 256;
+/** Service time that is assumed before the first call has ended, in milliseconds. */
+const firstServiceMs = 10;
+const serviceTimeWeight = 0.2;
+
+export interface WaitingCall {
+    readonly callId: string;
+    readonly partner: string;
+    readonly share: number;
+    /** Milliseconds since the epoch. */
+    readonly deadline: number;
+}
+
+export interface PartnerUse {
+    inUse: number;
+    readonly queue: WaitingCall[];
+}
+
+/** Slots in use and waiting calls of one service on this host. Its owner alone changes it. */
+export interface ServiceAdmission {
+    readonly inUse: Map<string, number>;
+    readonly partners: Map<string, PartnerUse>;
+    queued: number;
+    /** Moving average of the time that a call holds its slot, in milliseconds. */
+    serviceMs: number;
+}
+
+/** A backend server with the number of calls that it may work on. */
+export interface Capacity {
+    readonly server: BackendServer;
+    readonly slots: number;
+}
+
+export const AdmissionKind = { Admitted: "admitted", Queued: "queued", Refused: "refused" } as const;
+export type AdmissionKind = (typeof AdmissionKind)[keyof typeof AdmissionKind];
+
+export type AdmissionDecision =
+    | { readonly kind: typeof AdmissionKind.Admitted; readonly server: BackendServer }
+    | { readonly kind: typeof AdmissionKind.Queued; readonly dropped?: WaitingCall }
+    | { readonly kind: typeof AdmissionKind.Refused; readonly refusal: Refusal };
+
+export function createServiceAdmission(): ServiceAdmission {
+    return { inUse: new Map(), partners: new Map(), queued: 0, serviceMs: firstServiceMs };
+}
+
+/** Backend servers of a service that take work; the lower of the announced and configured figures holds. */
+export function capacitiesOf(
+    service: Service,
+    servers: Iterable<BackendServer>,
+    now: number,
+): readonly Capacity[] {
+    return [...servers]
+        .filter(
+            server =>
+                server.service === service.name &&
+                server.state === BackendServerState.Serving &&
+                hasLease(server, now),
+        )
+        .map(server => ({
+            server,
+            slots: Math.min(
+                service.slots,
+                service.connections,
+                server.slots ?? Infinity,
+                server.connections ?? Infinity,
+            ),
+        }))
+        .filter(({ slots }) => slots > 0);
+}
+
+/** Admits a call to a free slot, queues it, or refuses it. A queued call may push another one out. */
+export function requestAdmission(
+    state: ServiceAdmission,
+    call: WaitingCall,
+    capacities: readonly Capacity[],
+    now: number,
+): AdmissionDecision {
+    if (capacities.length === 0) {
+        return refuse(RefusalReason.NoBackendServer);
+    }
+    if (call.deadline <= now) {
+        return refuse(RefusalReason.DeadlinePassed);
+    }
+    const server = state.queued === 0 ? freeServer(state, capacities) : undefined;
+    if (server !== undefined) {
+        takeSlot(state, call.partner, server);
+        return { kind: AdmissionKind.Admitted, server };
+    }
+    const waitMs = expectedWaitMs(state, capacities);
+    if (waitMs > call.deadline - now) {
+        return refuse(RefusalReason.WaitTooLong, waitMs);
+    }
+    return enqueue(state, call, waitMs);
+}
+
+function enqueue(state: ServiceAdmission, call: WaitingCall, waitMs: number): AdmissionDecision {
+    const use = useOf(state, call.partner);
+    if (state.queued < maxQueuedCalls) {
+        use.queue.push(call);
+        state.queued += 1;
+        return { kind: AdmissionKind.Queued };
+    }
+    const largest = [...state.partners.values()].reduce((a, b) => (heldBy(b) > heldBy(a) ? b : a));
+    if (heldBy(use) + 1 / call.share >= heldBy(largest)) {
+        return refuse(RefusalReason.OverShare, waitMs);
+    }
+    const dropped = largest.queue.pop();
+    use.queue.push(call);
+    return { kind: AdmissionKind.Queued, ...(dropped === undefined ? {} : { dropped }) };
+}
+
+/** Waiting calls of a partner, relative to its share. */
+function heldBy(use: PartnerUse): number {
+    return use.queue.length / (use.queue[0]?.share ?? 1);
+}
+
+/** Admits the next waiting call: that of the partner with the least slots in use for its share. */
+export function admitNext(
+    state: ServiceAdmission,
+    capacities: readonly Capacity[],
+): { readonly call: WaitingCall; readonly server: BackendServer } | undefined {
+    const server = state.queued === 0 ? undefined : freeServer(state, capacities);
+    const next = [...state.partners.values()]
+        .filter(use => use.queue.length > 0)
+        .reduce<PartnerUse | undefined>(
+            (best, use) => (best === undefined || usedShare(use) < usedShare(best) ? use : best),
+            undefined,
+        );
+    if (server === undefined || next === undefined) {
+        return undefined;
+    }
+    const call = next.queue.shift() as WaitingCall;
+    state.queued -= 1;
+    takeSlot(state, call.partner, server);
+    return { call, server };
+}
+
+function usedShare(use: PartnerUse): number {
+    return use.inUse / (use.queue[0]?.share ?? 1);
+}
+
+/** Takes a call out of the queue, such as when its caller left. */
+export function removeWaiting(state: ServiceAdmission, call: WaitingCall): boolean {
+    const use = state.partners.get(call.partner);
+    const index = use?.queue.indexOf(call) ?? -1;
+    if (use === undefined || index < 0) {
+        return false;
+    }
+    use.queue.splice(index, 1);
+    state.queued -= 1;
+    forgetIdle(state, call.partner);
+    return true;
+}
+
+/** Removes and returns the waiting calls whose deadline has passed. */
+export function removeExpired(state: ServiceAdmission, now: number): readonly WaitingCall[] {
+    const expired = [...state.partners.values()].flatMap(use => use.queue.filter(c => c.deadline <= now));
+    expired.forEach(call => removeWaiting(state, call));
+    return expired;
+}
+
+export function releaseSlot(
+    state: ServiceAdmission,
+    partner: string,
+    serverId: string,
+    heldMs: number,
+): void {
+    const left = (state.inUse.get(serverId) ?? 1) - 1;
+    if (left > 0) {
+        state.inUse.set(serverId, left);
+    } else {
+        state.inUse.delete(serverId);
+    }
+    useOf(state, partner).inUse -= 1;
+    forgetIdle(state, partner);
+    state.serviceMs += serviceTimeWeight * (heldMs - state.serviceMs);
+}
+
+/** Share of the service's slots on this host that are in use, from 0 to 1. */
+export function loadOf(state: ServiceAdmission | undefined, capacities: readonly Capacity[]): number {
+    const slots = capacities.reduce((sum, capacity) => sum + capacity.slots, 0);
+    const used = capacities.reduce((sum, { server }) => sum + (state?.inUse.get(server.id) ?? 0), 0);
+    return slots === 0 ? 1 : Math.min(1, (used + (state?.queued ?? 0)) / slots);
+}
+
+function expectedWaitMs(state: ServiceAdmission, capacities: readonly Capacity[]): number {
+    const slots = capacities.reduce((sum, capacity) => sum + capacity.slots, 0);
+    return ((state.queued + 1) * state.serviceMs) / slots;
+}
+
+function freeServer(state: ServiceAdmission, capacities: readonly Capacity[]): BackendServer | undefined {
+    const use = ({ server, slots }: Capacity) => (state.inUse.get(server.id) ?? 0) / slots;
+    const free = capacities.filter(capacity => use(capacity) < 1).sort((a, b) => use(a) - use(b));
+    return free[0]?.server;
+}
+
+function takeSlot(state: ServiceAdmission, partner: string, server: BackendServer): void {
+    state.inUse.set(server.id, (state.inUse.get(server.id) ?? 0) + 1);
+    useOf(state, partner).inUse += 1;
+}
+
+function useOf(state: ServiceAdmission, partner: string): PartnerUse {
+    const use = state.partners.get(partner) ?? { inUse: 0, queue: [] };
+    state.partners.set(partner, use);
+    return use;
+}
+
+function forgetIdle(state: ServiceAdmission, partner: string): void {
+    const use = state.partners.get(partner);
+    if (use !== undefined && use.inUse === 0 && use.queue.length === 0) {
+        state.partners.delete(partner);
+    }
+}
+
+function refuse(reason: RefusalReason, retryAfterMs?: number): AdmissionDecision {
+    return { kind: AdmissionKind.Refused, refusal: refusal(reason, retryAfterMs) };
+}
--- /dev/null
+++ b/packages/core/src/calls/refusal.ts
@@ -0,0 +1,91 @@
+/** Why a call was refused without having run, and how that is said to a caller. */
+
+export const RefusalReason = {
+    Malformed: "malformed",
+    NoRoute: "noRoute",
+    NotAllowed: "notAllowed",
+    TooLarge: "tooLarge",
+    HopRejected: "hopRejected",
+    NotReady: "notReady",
+    Draining: "draining",
+    NoTarget: "noTarget",
+    /** No backend server of the service on this host takes work. */
+    NoBackendServer: "noBackendServer",
+    QueueFull: "queueFull",
+    OverShare: "overShare",
+    /** The expected wait is longer than the time that is left. */
+    WaitTooLong: "waitTooLong",
+    DeadlinePassed: "deadlinePassed",
+    Barred: "barred",
+    Unreachable: "unreachable",
+    RetriesExhausted: "retriesExhausted",
+} as const;
+export type RefusalReason = (typeof RefusalReason)[keyof typeof RefusalReason];
+
+export interface Refusal {
+    readonly reason: RefusalReason;
+    /** Time after which another attempt makes sense, in milliseconds. */
+    readonly retryAfterMs: number;
+}
+
+export function refusal(reason: RefusalReason, retryAfterMs = defaultRetryAfterMs): Refusal {
+    return { reason, retryAfterMs };
+}
+
+export const defaultRetryAfterMs = 1_000;
+
+export const CallOutcome = { NotRun: "not-run", Unknown: "unknown" } as const;
+export type CallOutcome = (typeof CallOutcome)[keyof typeof CallOutcome];
+
+const statusByReason = {
+    [RefusalReason.Malformed]: 400,
+    [RefusalReason.NoRoute]: 404,
+    [RefusalReason.NotAllowed]: 403,
+    [RefusalReason.TooLarge]: 413,
+    [RefusalReason.HopRejected]: 403,
+    [RefusalReason.NotReady]: 503,
+    [RefusalReason.Draining]: 503,
+    [RefusalReason.NoTarget]: 503,
+    [RefusalReason.NoBackendServer]: 503,
+    [RefusalReason.QueueFull]: 503,
+    [RefusalReason.OverShare]: 429,
+    [RefusalReason.WaitTooLong]: 503,
+    [RefusalReason.DeadlinePassed]: 504,
+    [RefusalReason.Barred]: 503,
+    [RefusalReason.Unreachable]: 503,
+    [RefusalReason.RetriesExhausted]: 503,
+} satisfies Record<RefusalReason, number>;
+
+/** HTTP status of a call that was refused as not run. */
+export function statusOfRefusal(reason: RefusalReason): number {
+    return statusByReason[reason];
+}
+
+/** HTTP status of a call whose outcome is unknown. */
+export const unknownOutcomeStatus = 502;
+
+/** Refusals that say that the host itself is busy, so that the next tier may be used. */
+const saturationReasons: ReadonlySet<string> = new Set([
+    RefusalReason.QueueFull,
+    RefusalReason.WaitTooLong,
+    RefusalReason.NoBackendServer,
+    RefusalReason.Draining,
+    RefusalReason.NotReady,
+]);
+
+export function saysSaturated(reason: string | undefined): boolean {
+    return reason !== undefined && saturationReasons.has(reason);
+}
+
+/** Refusals that every host would repeat, so that a retry elsewhere is useless. */
+const finalReasons: ReadonlySet<string> = new Set([
+    RefusalReason.Malformed,
+    RefusalReason.NotAllowed,
+    RefusalReason.TooLarge,
+    RefusalReason.DeadlinePassed,
+    RefusalReason.OverShare,
+]);
+
+export function isFinalRefusal(reason: string): boolean {
+    return finalReasons.has(reason);
+}
--- /dev/null
+++ b/packages/core/src/routing/observation.ts
@@ -0,0 +1,98 @@
+/** What a host has seen of another host while calling one service there. */
+export interface HostObservation {
+    inFlight: number;
+    /** Moving average of the time to a response head, in milliseconds. */
+    latencyMs: number;
+    consecutiveFailures: number;
+    /** Times that the host was ejected since its last success. */
+    ejections: number;
+    ejectedUntil: number;
+    trialInFlight: boolean;
+    /** Refusals, halved every `refusalHalfLifeMs`. */
+    refusals: number;
+    refusedAt: number;
+    /** Until then the host is taken as saturated. */
+    saturatedUntil: number;
+    /** Share of slots in use, as reported, from 0 to 1. */
+    load: number;
+    loadAt: number;
+}
+
+/** Weight of a new latency in the moving average. */
+const latencyWeight = 0.2;
+/** Consecutive failures after which a host is ejected. */
+export const failuresToEject = 3;
+const firstEjectionMs = 1_000;
+const maxEjectionMs = 60_000;
+const refusalHalfLifeMs = 1_000;
+/** Longest time for which one refusal marks a host as saturated, in milliseconds. */
+const maxSaturationMs = 500;
+/** Age at which a load report counts half, in milliseconds. */
+const loadHalfLifeMs = 1_000;
+
+export function createObservation(): HostObservation {
+    return {
+        inFlight: 0,
+        latencyMs: 0,
+        consecutiveFailures: 0,
+        ejections: 0,
+        ejectedUntil: 0,
+        trialInFlight: false,
+        refusals: 0,
+        refusedAt: 0,
+        saturatedUntil: 0,
+        load: 0,
+        loadAt: 0,
+    };
+}
+
+export function noteStart(seen: HostObservation): void {
+    seen.inFlight += 1;
+    seen.trialInFlight = seen.ejections > 0;
+}
+
+export function noteEnd(seen: HostObservation): void {
+    seen.inFlight = Math.max(0, seen.inFlight - 1);
+    seen.trialInFlight = false;
+}
+
+export function noteSuccess(seen: HostObservation, latencyMs: number): void {
+    seen.latencyMs =
+        seen.latencyMs === 0 ? latencyMs : seen.latencyMs + latencyWeight * (latencyMs - seen.latencyMs);
+    seen.consecutiveFailures = 0;
+    seen.ejections = 0;
+    seen.ejectedUntil = 0;
+}
+
+export function noteFailure(seen: HostObservation, now: number): void {
+    seen.consecutiveFailures += 1;
+    if (seen.consecutiveFailures >= failuresToEject) {
+        seen.ejectedUntil = now + Math.min(maxEjectionMs, firstEjectionMs * 2 ** seen.ejections);
+        seen.ejections += 1;
+    }
+}
+
+export function noteRefusal(
+    seen: HostObservation,
+    now: number,
+    options: { saturated: boolean; retryAfterMs: number },
+): void {
+    seen.refusals = recentRefusals(seen, now) + 1;
+    seen.refusedAt = now;
+    if (options.saturated) {
+        seen.saturatedUntil = now + Math.min(maxSaturationMs, options.retryAfterMs);
+    }
+}
+
+export function noteLoad(seen: HostObservation, load: number, now: number): void {
+    seen.load = Math.min(1, Math.max(0, load));
+    seen.loadAt = now;
+}
+
+export function recentRefusals(seen: HostObservation, now: number): number {
+    return seen.refusals * 0.5 ** ((now - seen.refusedAt) / refusalHalfLifeMs);
+}
+
+export function recentLoad(seen: HostObservation, now: number): number {
+    return seen.load * 0.5 ** ((now - seen.loadAt) / loadHalfLifeMs);
+}
--- /dev/null
+++ b/packages/core/src/routing/targets.ts
@@ -0,0 +1,74 @@
+import { HostState, type HostRecord, type Location } from "../membership/record.js";
+
+export const Tier = {
+    OwnHost: "ownHost",
+    OwnFailureDomain: "ownFailureDomain",
+    OwnRegion: "ownRegion",
+    OtherRegions: "otherRegions",
+} as const;
+export type Tier = (typeof Tier)[keyof typeof Tier];
+
+/** Order in which the tiers are used. */
+export const tierOrder: readonly Tier[] = [
+    Tier.OwnHost,
+    Tier.OwnFailureDomain,
+    Tier.OwnRegion,
+    Tier.OtherRegions,
+];
+
+/** A host that offers a service. */
+export interface Target {
+    readonly host: string;
+    readonly address: string;
+    readonly incarnation: number;
+    readonly slots: number;
+    readonly startedAt: number;
+}
+
+export type ServiceTargets = Readonly<Record<Tier, readonly Target[]>>;
+
+const usableStates: ReadonlySet<string> = new Set([HostState.Alive, HostState.Suspect]);
+
+export function tierOf(self: Location, other: Location): Tier {
+    if (other.host === self.host) {
+        return Tier.OwnHost;
+    }
+    if (other.failureDomain === self.failureDomain) {
+        return Tier.OwnFailureDomain;
+    }
+    return other.region === self.region ? Tier.OwnRegion : Tier.OtherRegions;
+}
+
+/** Hosts that offer each service, by tier, from the records of alive and suspect hosts. */
+export function findTargets(
+    self: Location,
+    records: Iterable<HostRecord>,
+): ReadonlyMap<string, ServiceTargets> {
+    const found = new Map<string, Record<Tier, Target[]>>();
+    for (const record of records) {
+        if (!usableStates.has(record.state)) {
+            continue;
+        }
+        for (const offer of record.offers) {
+            const tiers = found.get(offer.service) ?? emptyTiers();
+            found.set(offer.service, tiers);
+            tiers[tierOf(self, record)].push({
+                host: record.host,
+                address: record.peerAddress,
+                incarnation: record.incarnation,
+                slots: offer.slots,
+                startedAt: offer.startedAt,
+            });
+        }
+    }
+    return found;
+}
+
+function emptyTiers(): Record<Tier, Target[]> {
+    return {
+        [Tier.OwnHost]: [],
+        [Tier.OwnFailureDomain]: [],
+        [Tier.OwnRegion]: [],
+        [Tier.OtherRegions]: [],
+    };
+}
