feat(daemon): data path between entry daemons, hops and backend servers

Cause: the first path passed calls to a local backend server without admission, deadline, retry or outcome. Change: the call adapter is split into modules; an entry daemon selects a host and carries the call over a signed hop or locally, with admission, call fates, retries and streamed bodies. Backend servers drain, are validated and bounded. New sections targets, hostObservations and admissionState.

--- a/packages/core/src/admission/backendServer.ts
+++ b/packages/core/src/admission/backendServer.ts
@@ -29,4 +29,12 @@
     /** Milliseconds since the epoch, by the daemon's clock. */
     readonly announcedAt: number;
     readonly firstSeenAt: number;
+    /** When it started to leave, by the daemon's clock. */
+    readonly drainingSince?: number;
+}
+
+/** An operator's command that a backend server of this host shall leave. */
+export interface DrainCommand {
+    readonly kind: "drain";
+    readonly id: string;
 }
--- a/packages/core/src/calls/refusal.ts
+++ b/packages/core/src/calls/refusal.ts
@@ -80,7 +80,6 @@
 /** Refusals that every host would repeat, so that a retry elsewhere is useless. */
 const finalReasons: ReadonlySet<string> = new Set([
     RefusalReason.Malformed,
-    RefusalReason.NotAllowed,
     RefusalReason.TooLarge,
     RefusalReason.DeadlinePassed,
     RefusalReason.OverShare,
--- /dev/null
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -0,0 +1,188 @@
+import {
+    AttemptFailure,
+    noteEnd,
+    noteFailure,
+    noteLoad,
+    noteRefusal,
+    noteStart,
+    noteSuccess,
+    refusal,
+    RefusalReason,
+    remainingMs,
+    saysSaturated,
+    Tier,
+    type HostObservation,
+    type Refusal,
+    type Selection,
+} from "@tanagertray/core";
+import { bodySilenceMs, hopConnections, hopSilenceMs } from "./constants.js";
+import type { CallContext } from "./context.js";
+import { exchange, ExchangeEnd, type ExchangeResult, type ResponseSink } from "./exchange.js";
+import { lostReason } from "./handleHop.js";
+import { signHop } from "./hopToken.js";
+import { callerLeft, type IncomingCall } from "./incoming.js";
+import { runLocally } from "./localCall.js";
+import type { BodyAttempt } from "./requestBody.js";
+import { discardingSink } from "./responses.js";
+
+/** One attempt to carry a call to a host. */
+export interface Attempt {
+    readonly call: IncomingCall;
+    readonly callId: string;
+    readonly attemptId: string;
+    readonly deadline: number;
+    readonly selection: Selection;
+    readonly body: BodyAttempt;
+    readonly traceparent: string;
+    readonly signal: AbortSignal;
+    readonly onHead: (status: number, rawHeaders: string[]) => ResponseSink;
+}
+
+export interface AttemptOutcome {
+    /** Undefined when the backend server's response was passed on whole. */
+    readonly failure?: AttemptFailure;
+    readonly refusal?: Refusal;
+    /** The other daemon itself said that the outcome is unknown, so asking it is useless. */
+    readonly fateKnown: boolean;
+}
+
+const failureByEnd = {
+    [ExchangeEnd.Completed]: undefined,
+    [ExchangeEnd.NeverWritten]: AttemptFailure.NeverWritten,
+    [ExchangeEnd.Lost]: AttemptFailure.Lost,
+    [ExchangeEnd.Truncated]: AttemptFailure.Truncated,
+} satisfies Record<ExchangeEnd, AttemptFailure | undefined>;
+
+/** Makes one attempt and keeps the observations of its host. */
+export async function makeAttempt(context: CallContext, attempt: Attempt): Promise<AttemptOutcome> {
+    const { target, tier } = attempt.selection;
+    const seen = context.observations.at(attempt.call.matched.service.name, target.host);
+    const startedAt = context.now();
+    const noteHead = () => noteSuccess(seen, context.now() - startedAt);
+    noteStart(seen);
+    const run = tier === Tier.OwnHost ? runOnOwnHost : runOnOtherHost;
+    const outcome = await run(context, attempt, seen, noteHead);
+    noteEnd(seen);
+    if (outcome.refusal !== undefined && outcome.failure === AttemptFailure.Refused) {
+        const { reason, retryAfterMs } = outcome.refusal;
+        noteRefusal(seen, context.now(), { saturated: saysSaturated(reason), retryAfterMs });
+    } else if (outcome.failure !== undefined && attempt.signal.reason !== callerLeft) {
+        noteFailure(seen, context.now());
+    }
+    return outcome;
+}
+
+async function runOnOwnHost(
+    context: CallContext,
+    attempt: Attempt,
+    _seen: HostObservation,
+    noteHead: () => void,
+): Promise<AttemptOutcome> {
+    const { call, body } = attempt;
+    const outcome = await runLocally(context, {
+        ...attempt,
+        matched: call.matched,
+        method: call.method,
+        path: call.backendPath,
+        headers: call.head.headers,
+        onAdmitted: () => body.commit(),
+        onHead(status, raw) {
+            noteHead();
+            return attempt.onHead(status, raw);
+        },
+    });
+    return outcome.caseOf<AttemptOutcome>({
+        Left: refused => ({ failure: AttemptFailure.Refused, refusal: refused, fateKnown: true }),
+        Right: result => ofResult(result, true),
+    });
+}
+
+async function runOnOtherHost(
+    context: CallContext,
+    attempt: Attempt,
+    seen: HostObservation,
+    noteHead: () => void,
+): Promise<AttemptOutcome> {
+    const { call, body, selection } = attempt;
+    let refused: { readonly reason: string; readonly retryAfterMs: number } | undefined;
+
+    function onHead(status: number, raw: string[]): ResponseSink {
+        const load = Number(valueOf(raw, "tanagertray-load") ?? Number.NaN);
+        if (load >= 0) {
+            noteLoad(seen, load, context.now());
+        }
+        const reason = valueOf(raw, "tanagertray-reason");
+        if (reason !== undefined) {
+            refused = { reason, retryAfterMs: Number(valueOf(raw, "retry-after") ?? 1) * 1_000 };
+            return discardingSink;
+        }
+        noteHead();
+        return attempt.onHead(status, raw);
+    }
+
+    const result = await exchange({
+        dispatcher: context.pools.get(selection.target.address, hopConnections),
+        method: call.method,
+        path: call.url,
+        headers: hopHeaders(context, attempt),
+        body: body.chunks,
+        signal: attempt.signal,
+        headSilenceMs: hopSilenceMs,
+        bodySilenceMs,
+        mayWrite: () => remainingMs(attempt.deadline, context.now()) > 0,
+        onInformation: () => body.commit(),
+        onHead,
+    });
+    if (result.silent) {
+        context.pools.retire(selection.target.address);
+        context.telemetry.event("call.poolReplaced", "warn", { address: selection.target.address });
+    }
+    if (refused?.reason === lostReason) {
+        return { failure: AttemptFailure.Lost, fateKnown: true };
+    }
+    if (refused !== undefined) {
+        const { reason, retryAfterMs } = refused;
+        const known = refusal(reason as RefusalReason, retryAfterMs);
+        return { failure: AttemptFailure.Refused, refusal: known, fateKnown: true };
+    }
+    return ofResult(result, false);
+}
+
+function ofResult(result: ExchangeResult, fateKnown: boolean): AttemptOutcome {
+    const failure = failureByEnd[result.end];
+    const unreachable = { refusal: refusal(RefusalReason.Unreachable) };
+    return {
+        fateKnown,
+        ...(failure === undefined ? {} : { failure }),
+        ...(failure === AttemptFailure.NeverWritten ? unreachable : {}),
+    };
+}
+
+function hopHeaders(context: CallContext, attempt: Attempt): string[] {
+    const { call, callId, attemptId } = attempt;
+    const { caller, partner, service } = call.matched;
+    const deadlineMs = String(Math.max(1, remainingMs(attempt.deadline, context.now())));
+    const claims = {
+        attemptId,
+        callId,
+        caller,
+        partner,
+        service: service.name,
+        method: call.method,
+        path: call.url,
+        deadlineMs,
+    };
+    const key = context.board.read("settings").keys.peer[0] ?? "";
+    return [
+        ...call.head.headers,
+        ...["tanagertray-caller", caller, "tanagertray-partner", partner],
+        ...["tanagertray-call-id", callId, "tanagertray-deadline-ms", deadlineMs],
+        ...["tanagertray-hop", signHop(claims, key, context.now())],
+        ...["traceparent", attempt.traceparent],
+    ];
+}
+
+function valueOf(raw: readonly string[], name: string): string | undefined {
+    const index = raw.findIndex((part, i) => i % 2 === 0 && part.toLowerCase() === name);
+    return index < 0 ? undefined : raw[index + 1];
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/calls/constants.ts
@@ -0,0 +1,26 @@
+/** Bytes of a request body that are sent and kept before the call is admitted. */
+export const keptBodyBytes = 65_536;
+/** Headers of one request. */
+export const maxHeaders = 100;
+/** Longest time that a call waits for a slot, in milliseconds. Shorter than `hopSilenceMs`. */
+export const maxQueueMs = 2_000;
+/** Silence after which a hop is given up: the other daemon repeats its 102 every `progressMs`. */
+export const hopSilenceMs = 3_000;
+export const progressMs = 1_000;
+/** Longest pause within a response body, in milliseconds. */
+export const bodySilenceMs = 5_000;
+/** Time in which a hop's HMAC must arrive, in milliseconds; allows for clocks that differ. */
+export const hopValidityMs = 10_000;
+/** Longer than a hop can stay valid and queued, so that a barred call cannot start later. */
+export const barMs = 30_000;
+/** Time to wait for an answer on a call's fate, in milliseconds. */
+export const fateWaitMs = 1_000;
+/** Connections to one other daemon. */
+export const hopConnections = 128;
+/** Idle time of pooled connections, in milliseconds; the listeners keep theirs for 30 s. */
+export const poolIdleMs = 4_000;
+export const connectTimeoutMs = 1_000;
+/** Pools are closed when unused for this time, in milliseconds. */
+export const poolUnusedMs = 60_000;
+/** Longest time that `close` waits for calls in flight when no configuration is held. */
+export const defaultDrainMs = 30_000;
--- /dev/null
+++ b/packages/daemon/src/adapters/calls/context.ts
@@ -0,0 +1,22 @@
+import type { RetryBudget } from "@tanagertray/core";
+import type { Board } from "../../board.js";
+import type { Admissions } from "./admissions.js";
+import type { Fates } from "./fates.js";
+import type { Observations } from "./observations.js";
+import type { Pools } from "./pools.js";
+import type { Telemetry } from "./telemetry.js";
+
+/** What the parts of the call adapter share. */
+export interface CallContext {
+    readonly board: Board;
+    readonly now: () => number;
+    readonly random: () => number;
+    readonly pools: Pools;
+    readonly admissions: Admissions;
+    readonly fates: Fates;
+    readonly observations: Observations;
+    readonly telemetry: Telemetry;
+    readonly retryBudget: RetryBudget;
+    /** Cancels of all calls in progress. */
+    readonly cancels: Set<AbortController>;
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/calls/createCalls.ts
@@ -0,0 +1,113 @@
+import { createRetryBudget, ResourceKind } from "@tanagertray/core";
+import type { IncomingMessage, RequestListener, ServerResponse } from "node:http";
+import type { Board } from "../../board.js";
+import type { Closeable } from "../../closeable.js";
+import { closeListener, openListener } from "../httpListener.js";
+import { createAdmissions } from "./admissions.js";
+import { defaultDrainMs } from "./constants.js";
+import type { CallContext } from "./context.js";
+import { createFates } from "./fates.js";
+import { handleEntry } from "./handleEntry.js";
+import { handleHop } from "./handleHop.js";
+import { createObservations } from "./observations.js";
+import { createPools } from "./pools.js";
+import { resetConnection } from "./responses.js";
+import { createTelemetry } from "./telemetry.js";
+
+export interface CallsOptions {
+    /**
+     * Milliseconds since the epoch.
+     * @default Date.now
+     */
+    now?: () => number;
+    /**
+     * Uniform in [0, 1).
+     * @default Math.random
+     */
+    random?: () => number;
+}
+
+export interface Calls extends Closeable {
+    /** Handles calls that arrive from other daemons. */
+    readonly handleHop: RequestListener;
+    /** Address and port of the callers' listener. */
+    readonly port: number;
+    /** Waits for the calls in flight, up to the drain limit of the services. */
+    close(): Promise<void>;
+}
+
+const stopped = new Error("the daemon stopped waiting for calls in flight");
+
+type Handler = (context: CallContext, request: IncomingMessage, response: ServerResponse) => Promise<void>;
+
+/** Opens the callers' listener and carries calls to the backend servers of this and other hosts. */
+export async function createCalls(board: Board, options: CallsOptions = {}): Promise<Calls> {
+    const { now = Date.now, random = Math.random } = options;
+    const context: CallContext = {
+        board,
+        now,
+        random,
+        pools: createPools(now),
+        admissions: createAdmissions(board, now),
+        fates: createFates(board, now),
+        observations: createObservations(board),
+        telemetry: createTelemetry(board, now),
+        retryBudget: createRetryBudget(),
+        cancels: new Set(),
+    };
+    const inFlight = new Set<Promise<void>>();
+
+    function track(handler: Handler): RequestListener {
+        return (request, response) => {
+            request.on("error", () => undefined);
+            response.on("error", () => undefined);
+            const done = handler(context, request, response)
+                .catch((error: unknown) => {
+                    // Whether the call ran is not known here, so nothing may be claimed.
+                    context.telemetry.event("call.failed", "error", { message: String(error) });
+                    resetConnection(response);
+                })
+                .finally(() => inFlight.delete(done));
+            inFlight.add(done);
+        };
+    }
+
+    function retireGone(): void {
+        const tiers = [...board.read("targets").values()].flatMap(targets => Object.values(targets));
+        const hosts = tiers.flat().map(target => target.address);
+        const servers = [...board.read("backendServers").values()].map(({ address }) => address);
+        context.pools.keepOnly(new Set([...hosts, ...servers]));
+    }
+
+    const server = await openListener(board.read("settings").listen.calls, track(handleEntry));
+    const subscriptions = [
+        board.observe(["clock"], () => context.pools.closeUnused()),
+        board.observe(["targets", "backendServers"], retireGone),
+    ];
+
+    function drainLimitMs(): number {
+        const resources = [...(board.read("configuration").held?.resources.values() ?? [])];
+        const services = resources.filter(resource => resource.kind === ResourceKind.Service);
+        return services.length === 0 ? defaultDrainMs : Math.max(...services.map(service => service.drainMs));
+    }
+
+    return {
+        handleHop: track(handleHop),
+        port: (server.address() as { port: number }).port,
+        async close() {
+            const timer = setTimeout(() => {
+                context.cancels.forEach(cancel => cancel.abort(stopped));
+                server.closeAllConnections();
+            }, drainLimitMs());
+            const closed = closeListener(server);
+            while (inFlight.size > 0) {
+                await Promise.all(inFlight);
+            }
+            await closed;
+            clearTimeout(timer);
+            subscriptions.forEach(subscription => subscription.close());
+            await context.pools.close();
+            [context.admissions, context.fates, context.observations].forEach(part => part.close());
+        },
+    };
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/calls/fates.ts
@@ -0,0 +1,89 @@
+import {
+    CallFate,
+    createFateTable,
+    expireFates,
+    finishCall,
+    MessageKind,
+    settleFate,
+    startCall,
+    type IncomingMessage,
+    type Target,
+} from "@tanagertray/core";
+import type { Board } from "../../board.js";
+import { barMs } from "./constants.js";
+
+/** Period in which expired entries are removed, in milliseconds. */
+const expiryPeriodMs = 1_000;
+
+export interface Fates {
+    /** Marks an attempt as running; false forbids it. */
+    start(attemptId: string, deadline: number): boolean;
+    finish(attemptId: string): void;
+    /** Asks another daemon for a call, and bars it there. True when the call never ran and never will. */
+    askBarred(target: Target, attemptId: string, waitMs: number): Promise<boolean>;
+    close(): void;
+}
+
+/** Knows what became of the calls that other daemons sent here, and asks them about their own. */
+export function createFates(board: Board, now: () => number): Fates {
+    const outbox = board.claimFeed("callsOutbox");
+    const table = createFateTable();
+    const waiting = new Map<string, (message: IncomingMessage) => void>();
+    let expiredAt = 0;
+
+    function answer({ from, message }: IncomingMessage): void {
+        if (message.kind !== MessageKind.FateRequest) {
+            return;
+        }
+        const { callId } = message;
+        const fate = settleFate(table, callId, now() + barMs, now());
+        const { incarnation } = board.read("membership").self;
+        outbox.append({
+            to: { host: from },
+            message: { kind: MessageKind.Fate, callId, fate, incarnation },
+        });
+    }
+
+    function take(incoming: IncomingMessage): void {
+        answer(incoming);
+        if (incoming.message.kind === MessageKind.Fate) {
+            waiting.get(incoming.message.callId)?.(incoming);
+        }
+    }
+
+    function askBarred(target: Target, attemptId: string, waitMs: number): Promise<boolean> {
+        return new Promise(resolve => {
+            const end = (barred: boolean) => {
+                clearTimeout(timer);
+                waiting.delete(attemptId);
+                resolve(barred);
+            };
+            const timer = setTimeout(() => end(false), waitMs);
+            waiting.set(attemptId, ({ from, message }) => {
+                if (from === target.host && message.kind === MessageKind.Fate) {
+                    end(message.fate === CallFate.Barred && message.incarnation === target.incarnation);
+                }
+            });
+            outbox.append({
+                to: { host: target.host },
+                message: { kind: MessageKind.FateRequest, callId: attemptId },
+            });
+        });
+    }
+
+    const subscriptions = [
+        board.follow("peerInbox", take),
+        board.observe(["clock"], () => {
+            if (now() - expiredAt >= expiryPeriodMs) {
+                expiredAt = now();
+                expireFates(table, now());
+            }
+        }),
+    ];
+    return {
+        start: (attemptId, deadline) => startCall(table, attemptId, Math.max(deadline, now() + barMs), now()),
+        finish: attemptId => finishCall(table, attemptId),
+        askBarred,
+        close: () => subscriptions.forEach(subscription => subscription.close()),
+    };
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/calls/handleEntry.ts
@@ -0,0 +1,227 @@
+import {
+    AttemptFailure,
+    chooseTarget,
+    deadlineAt,
+    isFinalRefusal,
+    nextStepAfter,
+    NextStep,
+    noteCall,
+    refusal,
+    RefusalReason,
+    remainingMs,
+    takeRetry,
+    Tier,
+    type Refusal,
+    type Selection,
+} from "@tanagertray/core";
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { makeAttempt, type AttemptOutcome } from "./attempt.js";
+import { fateWaitMs } from "./constants.js";
+import type { CallContext } from "./context.js";
+import { responseHeaders } from "./headers.js";
+import { callerLeft, checkAdmitting, openCancel, readCall, type IncomingCall } from "./incoming.js";
+import { createRequestBody, type RequestBody } from "./requestBody.js";
+import { resetConnection, sayNotRun, sayUnknown, sinkTo } from "./responses.js";
+
+/** Time to ask for a call's fate once the deadline has passed, in milliseconds. */
+const lateFateWaitMs = 200;
+const keptHeaders: ReadonlySet<string> = new Set(["tanagertray-outcome"]);
+
+/** State of one call at its entry daemon. */
+interface EntryCall {
+    readonly call: IncomingCall;
+    readonly callId: string;
+    readonly deadline: number;
+    readonly body: RequestBody;
+    readonly signal: AbortSignal;
+    readonly response: ServerResponse;
+    readonly traceparent: string;
+    readonly excluded: Set<string>;
+    retries: number;
+    /** The last attempt failed by its connection, not by a refusal. */
+    connectionFailed: boolean;
+    /** An earlier attempt may have run, so that no later refusal means that the call did not run. */
+    mayHaveRun: boolean;
+    lastRefusal: Refusal | undefined;
+}
+
+/** Carries a caller's request to a host that offers the service, and answers the caller. */
+export async function handleEntry(
+    context: CallContext,
+    request: IncomingMessage,
+    response: ServerResponse,
+): Promise<void> {
+    const { board, telemetry } = context;
+    const checked = checkAdmitting(board).chain(() => readCall(board, request));
+    if (checked.isLeft()) {
+        const refused = checked.extract() as Refusal;
+        telemetry.event("call.refused", "info", { reason: refused.reason });
+        return sayNotRun(response, refused, { close: refused.reason === RefusalReason.Draining });
+    }
+    const call = checked.unsafeCoerce();
+    const { operation, service, partner } = call.matched;
+    const deadline = deadlineAt(context.now(), operation.deadlineMs, call.askedDeadlineMs);
+    const cancel = openCancel(context, response, deadline);
+    const span = telemetry.startSpan("entry", call.head.own.get("traceparent"));
+    const entry: EntryCall = {
+        call,
+        callId: call.callId ?? randomUUID(),
+        deadline,
+        body: createRequestBody(request, {
+            hasBody: call.head.hasBody,
+            maxBytes: operation.maxBodyBytes,
+            repeatable: operation.repeatable,
+        }),
+        signal: cancel.signal,
+        response,
+        traceparent: span.traceparent,
+        excluded: new Set(),
+        retries: 0,
+        connectionFailed: false,
+        mayHaveRun: false,
+        lastRefusal: undefined,
+    };
+    noteCall(context.retryBudget);
+    const result = await carry(context, entry);
+    cancel.close();
+    const { retries } = entry;
+    span.end(result !== CallResult.Completed, {
+        service: service.name,
+        operation: operation.name,
+        result,
+        retries,
+    });
+    const fields = { service: service.name, partner, result, retries, reason: entry.lastRefusal?.reason };
+    telemetry.event("call.finished", result === CallResult.Completed ? "debug" : "info", fields);
+}
+
+const CallResult = {
+    Completed: "completed",
+    NotRun: "notRun",
+    Unknown: "unknown",
+    Reset: "reset",
+} as const;
+type CallResult = (typeof CallResult)[keyof typeof CallResult];
+
+async function carry(context: CallContext, entry: EntryCall): Promise<CallResult> {
+    for (;;) {
+        const selection = select(context, entry);
+        if (selection === undefined || entry.signal.aborted) {
+            return finish(entry);
+        }
+        entry.excluded.add(selection.target.host);
+        const attemptId = randomUUID();
+        const outcome = await attemptOnce(context, entry, selection, attemptId);
+        if (outcome.failure === undefined) {
+            return CallResult.Completed;
+        }
+        entry.lastRefusal = outcome.refusal ?? entry.lastRefusal;
+        entry.connectionFailed =
+            outcome.failure !== AttemptFailure.Refused ||
+            outcome.refusal?.reason === RefusalReason.Unreachable;
+        const step = await decide(context, entry, { outcome, selection, attemptId });
+        if (step === NextStep.Reset) {
+            resetConnection(entry.response);
+            return CallResult.Reset;
+        }
+        if (step !== NextStep.Retry || !takeRetry(context.retryBudget, entry.retries)) {
+            return finish(entry);
+        }
+        entry.retries += 1;
+    }
+}
+
+function select(context: CallContext, entry: EntryCall): Selection | undefined {
+    const { service } = entry.call.matched;
+    const targets = context.board.read("targets").get(service.name);
+    const options = {
+        observations: context.observations.of(service.name),
+        now: context.now(),
+        random: context.random,
+        coldStartMs: service.coldStartMs,
+        excluded: entry.excluded,
+    };
+    if (targets === undefined) {
+        return undefined;
+    }
+    // A broken connection says little about its host, so the host is tried again when there is no other.
+    const again = entry.connectionFailed
+        ? chooseTarget(targets, { ...options, excluded: new Set() })
+        : undefined;
+    return chooseTarget(targets, options) ?? again;
+}
+
+async function attemptOnce(
+    context: CallContext,
+    entry: EntryCall,
+    selection: Selection,
+    attemptId: string,
+): Promise<AttemptOutcome> {
+    const { call, callId, deadline, response, signal, traceparent } = entry;
+    const body = entry.body.open();
+    const outcome = await makeAttempt(context, {
+        call,
+        callId,
+        attemptId,
+        deadline,
+        selection,
+        body,
+        traceparent,
+        signal,
+        onHead(status, raw) {
+            const closing = context.board.read("shutdown").requested ? ["connection", "close"] : [];
+            response.writeHead(status, [...responseHeaders(raw, keptHeaders), ...closing]);
+            return sinkTo(response);
+        },
+    });
+    body.close();
+    return outcome;
+}
+
+/** Next step after a failed attempt; a retry is only returned when the call may be sent again. */
+async function decide(
+    context: CallContext,
+    entry: EntryCall,
+    tried: { outcome: AttemptOutcome; selection: Selection; attemptId: string },
+): Promise<NextStep> {
+    const { outcome, selection, attemptId } = tried;
+    const replayable = entry.body.replayable() && !entry.body.tooLarge();
+    const remote = selection.tier !== Tier.OwnHost && !outcome.fateKnown;
+    const { repeatable } = entry.call.matched.operation;
+    const step = nextStepAfter(outcome.failure as AttemptFailure, { repeatable, replayable, remote });
+    if (outcome.failure === AttemptFailure.Refused && isFinalRefusal(outcome.refusal?.reason ?? "")) {
+        return NextStep.SayNotRun;
+    }
+    if (outcome.failure !== AttemptFailure.Lost || entry.signal.reason === callerLeft) {
+        return step;
+    }
+    if (step === NextStep.AskFate) {
+        const waitMs = Math.max(
+            lateFateWaitMs,
+            Math.min(fateWaitMs, remainingMs(entry.deadline, context.now())),
+        );
+        if (await context.fates.askBarred(selection.target, attemptId, waitMs)) {
+            entry.lastRefusal = refusal(RefusalReason.Unreachable);
+            return replayable ? NextStep.Retry : NextStep.SayNotRun;
+        }
+    }
+    entry.mayHaveRun = true;
+    return step === NextStep.AskFate ? NextStep.SayUnknown : step;
+}
+
+/** Answers a call that no backend server answered. */
+function finish(entry: EntryCall): CallResult {
+    if (entry.mayHaveRun) {
+        sayUnknown(entry.response, "lost");
+        return CallResult.Unknown;
+    }
+    const refused = entry.body.tooLarge()
+        ? refusal(RefusalReason.TooLarge)
+        : entry.signal.aborted
+          ? refusal(RefusalReason.DeadlinePassed)
+          : (entry.lastRefusal ?? refusal(RefusalReason.NoTarget));
+    entry.lastRefusal = refused;
+    sayNotRun(entry.response, refused, { close: false });
+    return CallResult.NotRun;
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/calls/handleHop.ts
@@ -0,0 +1,124 @@
+import { deadlineAt, refusal, RefusalReason, type Refusal } from "@tanagertray/core";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { Left, Right, type Either } from "purify-ts/Either";
+import { progressMs } from "./constants.js";
+import type { CallContext } from "./context.js";
+import { ExchangeEnd } from "./exchange.js";
+import { responseHeaders } from "./headers.js";
+import { verifyHop } from "./hopToken.js";
+import { checkAdmitting, openCancel, readCall, type IncomingCall } from "./incoming.js";
+import { runLocally } from "./localCall.js";
+import { createRequestBody } from "./requestBody.js";
+import { resetConnection, sayNotRun, sayUnknown, sinkTo } from "./responses.js";
+
+interface VerifiedHop {
+    readonly call: IncomingCall;
+    readonly attemptId: string;
+    readonly callId: string;
+}
+
+/** Reason of an unknown outcome, towards the entry daemon. */
+export const lostReason = "lost";
+const keptHeaders: ReadonlySet<string> = new Set(["tanagertray-outcome"]);
+
+/** Carries a call that came from another daemon to a backend server of this host. */
+export async function handleHop(
+    context: CallContext,
+    request: IncomingMessage,
+    response: ServerResponse,
+): Promise<void> {
+    const { board } = context;
+    const checked = checkAdmitting(board)
+        .chain(() => readCall(board, request))
+        .chain(call => verify(context, call));
+    if (checked.isLeft()) {
+        const refused = checked.extract() as Refusal;
+        context.telemetry.event("call.hopRefused", "info", { reason: refused.reason });
+        return sayNotRun(response, refused, { close: refused.reason === RefusalReason.Draining });
+    }
+    await carry(context, checked.unsafeCoerce(), request, response);
+}
+
+async function carry(
+    context: CallContext,
+    { call, attemptId, callId }: VerifiedHop,
+    request: IncomingMessage,
+    response: ServerResponse,
+): Promise<void> {
+    const { matched, head } = call;
+    const deadline = deadlineAt(context.now(), matched.operation.deadlineMs, call.askedDeadlineMs);
+    const cancel = openCancel(context, response, deadline);
+    const span = context.telemetry.startSpan("hop", head.own.get("traceparent"));
+    const maxBytes = matched.operation.maxBodyBytes;
+    const body = createRequestBody(request, { hasBody: head.hasBody, maxBytes, repeatable: false }).open();
+    let progress: NodeJS.Timeout | undefined;
+    const outcome = await runLocally(context, {
+        matched,
+        attemptId,
+        callId,
+        deadline,
+        method: call.method,
+        path: call.backendPath,
+        headers: head.headers,
+        traceparent: span.traceparent,
+        body,
+        signal: cancel.signal,
+        onAdmitted() {
+            response.writeProcessing();
+            // Shows the entry daemon that the connection is not silent while the backend server works.
+            progress = setInterval(() => response.writeProcessing(), progressMs);
+            body.commit();
+        },
+        onHead(status, raw) {
+            clearInterval(progress);
+            const load = String(Math.round(context.admissions.load(matched.service) * 1_000) / 1_000);
+            const closing = context.board.read("shutdown").requested ? ["connection", "close"] : [];
+            response.writeHead(status, [
+                ...responseHeaders(raw, keptHeaders),
+                ...["tanagertray-load", load],
+                ...closing,
+            ]);
+            return sinkTo(response);
+        },
+    });
+    clearInterval(progress);
+    body.close();
+    cancel.close();
+    outcome.caseOf({
+        Left: refused => sayNotRun(response, refused, { close: false }),
+        Right: ({ end }) => answerByEnd[end](response),
+    });
+    const reason = outcome.caseOf<string>({ Left: refused => refused.reason, Right: ({ end }) => end });
+    span.end(reason !== ExchangeEnd.Completed, {
+        service: matched.service.name,
+        operation: matched.operation.name,
+        reason,
+    });
+    context.telemetry.event("call.hop", "debug", { service: matched.service.name, reason });
+}
+
+const answerByEnd = {
+    [ExchangeEnd.Completed]: () => undefined,
+    [ExchangeEnd.NeverWritten]: response =>
+        sayNotRun(response, refusal(RefusalReason.Unreachable), { close: false }),
+    [ExchangeEnd.Lost]: response => sayUnknown(response, lostReason),
+    [ExchangeEnd.Truncated]: resetConnection,
+} satisfies Record<ExchangeEnd, (response: ServerResponse) => void>;
+
+function verify(context: CallContext, call: IncomingCall): Either<Refusal, VerifiedHop> {
+    const own = (name: string) => call.head.own.get(`tanagertray-${name}`) ?? "";
+    const claims = {
+        callId: own("call-id"),
+        caller: own("caller"),
+        partner: own("partner"),
+        service: call.matched.service.name,
+        method: call.method,
+        path: call.url,
+        deadlineMs: own("deadline-ms"),
+    };
+    const { keys } = context.board.read("settings");
+    const attemptId = verifyHop(own("hop"), claims, keys.peer, context.now());
+    return attemptId === undefined
+        ? Left(refusal(RefusalReason.HopRejected))
+        : Right({ call, attemptId, callId: claims.callId });
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/calls/headers.ts
@@ -0,0 +1,82 @@
+import { refusal, RefusalReason, type Refusal } from "@tanagertray/core";
+import { Left, Right, type Either } from "purify-ts/Either";
+import { maxHeaders } from "./constants.js";
+
+/** RFC 9110, section 7.6.1, and `expect`, which each hop answers for itself. */
+const hopByHop: ReadonlySet<string> = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+]);
+/** A `connection` header that names one of these would change the framing or the identity of a call. */
+const neverNominated = /^(content-length|host|transfer-encoding|traceparent|tanagertray-.*)$/;
+const ownPrefix = "tanagertray-";
+/** Headers that a request may carry once at most. */
+const single = /^(content-length|transfer-encoding|host|traceparent|tanagertray-.*)$/;
+
+export interface RequestHead {
+    /** Names and values to pass on, alternating. */
+    readonly headers: readonly string[];
+    /** The daemon's own headers, by name. */
+    readonly own: ReadonlyMap<string, string>;
+    readonly hasBody: boolean;
+    readonly declaredBytes: number | undefined;
+}
+
+/** Checks the headers of a request (RFC 9112, section 6) and separates what may be passed on. */
+export function readRequestHead(raw: readonly string[]): Either<Refusal, RequestHead> {
+    const entries = pairs(raw);
+    const count = new Map<string, number>();
+    entries.forEach(([name]) => count.set(name, (count.get(name) ?? 0) + 1));
+    const byName = new Map(entries);
+    const nominated = nominatedNames(entries);
+    const length = byName.get("content-length");
+    const encoding = byName.get("transfer-encoding");
+    if (
+        entries.length > maxHeaders ||
+        [...count].some(([name, times]) => times > 1 && single.test(name)) ||
+        [...nominated].some(name => neverNominated.test(name)) ||
+        (length !== undefined && (encoding !== undefined || !/^\d{1,15}$/.test(length))) ||
+        (encoding !== undefined && encoding.toLowerCase() !== "chunked")
+    ) {
+        return Left(refusal(RefusalReason.Malformed));
+    }
+    const passed = entries.filter(([name]) => !isDropped(name, nominated) && name !== "host");
+    return Right({
+        headers: passed.flat(),
+        own: new Map(entries.filter(([name]) => name.startsWith(ownPrefix) || name === "traceparent")),
+        hasBody: encoding !== undefined || Number(length ?? 0) > 0,
+        declaredBytes: length === undefined ? undefined : Number(length),
+    });
+}
+
+/** Headers of a response that may be passed on. Those of the daemons are kept only between daemons. */
+export function responseHeaders(raw: readonly string[], kept: ReadonlySet<string>): string[] {
+    const entries = pairs(raw);
+    const nominated = nominatedNames(entries);
+    return entries.filter(([name]) => kept.has(name) || !isDropped(name, nominated)).flat();
+}
+
+function isDropped(name: string, nominated: ReadonlySet<string>): boolean {
+    return hopByHop.has(name) || nominated.has(name) || name.startsWith(ownPrefix) || name === "traceparent";
+}
+
+function nominatedNames(entries: readonly [string, string][]): ReadonlySet<string> {
+    const values = entries.filter(([name]) => name === "connection").map(([, value]) => value);
+    return new Set(values.flatMap(value => value.split(",").map(part => part.trim().toLowerCase())));
+}
+
+function pairs(raw: readonly string[]): [string, string][] {
+    const result: [string, string][] = [];
+    for (let i = 0; i + 1 < raw.length; i += 2) {
+        result.push([(raw[i] as string).toLowerCase(), raw[i + 1] as string]);
+    }
+    return result;
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/calls/pools.ts
@@ -0,0 +1,65 @@
+import { Pool } from "undici";
+import { connectTimeoutMs, poolIdleMs, poolUnusedMs } from "./constants.js";
+
+interface PoolEntry {
+    readonly pool: Pool;
+    usedAt: number;
+}
+
+/** Connections to other daemons and to backend servers, by address. */
+export interface Pools {
+    get(address: string, connections: number): Pool;
+    /** Lets calls in flight finish on the old connections and gives new calls new connections. */
+    retire(address: string): void;
+    closeUnused(): void;
+    /** Closes the pools of all other addresses. */
+    keepOnly(addresses: ReadonlySet<string>): void;
+    size(): number;
+    close(): Promise<void>;
+}
+
+export function createPools(now: () => number): Pools {
+    const entries = new Map<string, PoolEntry>();
+    const closing = new Set<Promise<void>>();
+
+    function retire(address: string): void {
+        const entry = entries.get(address);
+        if (entry !== undefined) {
+            entries.delete(address);
+            const done = entry.pool.close().finally(() => closing.delete(done));
+            closing.add(done);
+        }
+    }
+
+    return {
+        get(address, connections) {
+            const entry = entries.get(address) ?? { pool: openPool(address, connections), usedAt: 0 };
+            entry.usedAt = now();
+            entries.set(address, entry);
+            return entry.pool;
+        },
+        retire,
+        closeUnused() {
+            const limit = now() - poolUnusedMs;
+            [...entries].filter(([, { usedAt }]) => usedAt < limit).forEach(([address]) => retire(address));
+        },
+        keepOnly(addresses) {
+            [...entries.keys()].filter(address => !addresses.has(address)).forEach(retire);
+        },
+        size: () => entries.size,
+        async close() {
+            [...entries.keys()].forEach(retire);
+            await Promise.all(closing);
+        },
+    };
+}
+
+function openPool(address: string, connections: number): Pool {
+    return new Pool(`http://${address}`, {
+        connections,
+        pipelining: 1,
+        keepAliveTimeout: poolIdleMs,
+        keepAliveMaxTimeout: poolIdleMs,
+        connect: { timeout: connectTimeoutMs },
+    });
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/calls/requestBody.ts
@@ -0,0 +1,110 @@
+import type { IncomingMessage } from "node:http";
+import { keptBodyBytes } from "./constants.js";
+
+/** A request body that can be sent again from its first byte until it was committed. */
+export interface RequestBody {
+    /** Starts an attempt to send the body, or gives null when there is none. */
+    open(): BodyAttempt;
+    replayable(): boolean;
+    /** Whether more bytes came than the operation allows. */
+    tooLarge(): boolean;
+}
+
+export interface BodyAttempt {
+    readonly chunks: AsyncIterable<Buffer> | null;
+    /** The call was admitted: sends the rest, and forgets what was sent. */
+    commit(): void;
+    /** Ends the attempt. */
+    close(): void;
+}
+
+export interface RequestBodyOptions {
+    readonly hasBody: boolean;
+    readonly maxBytes: number;
+    /** Keeps a small body after admission too, since the call may be sent again. */
+    readonly repeatable: boolean;
+}
+
+/** Reads a request body on demand, so that a slow receiver slows the caller down. */
+export function createRequestBody(
+    request: IncomingMessage,
+    { hasBody, maxBytes, repeatable }: RequestBodyOptions,
+): RequestBody {
+    const iterator = request[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
+    const kept: Buffer[] = [];
+    let received = 0;
+    let ended = !hasBody;
+    let committed = false;
+    let trimmed = false;
+    let pull: Promise<void> | undefined;
+
+    /** One read at a time; a read that an ended attempt started serves the next attempt. */
+    function pullMore(): Promise<void> {
+        pull ??= iterator
+            .next()
+            .then(result => {
+                if (result.done === true) {
+                    ended = true;
+                    return;
+                }
+                received += result.value.length;
+                if (received > maxBytes) {
+                    throw new Error(`request body exceeds ${maxBytes} bytes`);
+                }
+                kept.push(result.value);
+            })
+            .finally(() => (pull = undefined));
+        return pull;
+    }
+
+    function open(): BodyAttempt {
+        let openGate: () => void = () => undefined;
+        const gate = new Promise<void>(resolve => (openGate = resolve));
+        let closed = false;
+
+        async function* send(): AsyncGenerator<Buffer> {
+            let position = 0;
+            let sent = 0;
+            while (!closed) {
+                const chunk = kept[position];
+                if (chunk === undefined) {
+                    if (ended) {
+                        return;
+                    }
+                    await pullMore();
+                    continue;
+                }
+                if (!committed && sent + chunk.length > keptBodyBytes) {
+                    await gate;
+                    continue;
+                }
+                position += 1;
+                sent += chunk.length;
+                if (committed && (!repeatable || received > keptBodyBytes)) {
+                    trimmed = true;
+                    kept.splice(0, position);
+                    position = 0;
+                }
+                yield chunk;
+            }
+        }
+
+        return {
+            chunks: hasBody ? send() : null,
+            commit() {
+                committed = true;
+                openGate();
+            },
+            close() {
+                closed = true;
+                openGate();
+            },
+        };
+    }
+
+    return {
+        open,
+        replayable: () => !trimmed,
+        tooLarge: () => received > maxBytes,
+    };
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/calls/telemetry.ts
@@ -0,0 +1,51 @@
+import type { EventLevel} from "@tanagertray/core";
+import { type Event } from "@tanagertray/core";
+import { randomBytes } from "node:crypto";
+import type { Board } from "../../board.js";
+
+/** A span in progress. */
+export interface OpenSpan {
+    /** Value of `traceparent` for the next hop. */
+    readonly traceparent: string;
+    end(failed: boolean, attributes: Readonly<Record<string, string | number | boolean>>): void;
+}
+
+export interface Telemetry {
+    event(name: string, level: EventLevel, fields: Event["fields"]): void;
+    startSpan(name: string, traceparent: string | undefined): OpenSpan;
+}
+
+const traceparentPattern = /^00-(?!0{32})([0-9a-f]{32})-(?!0{16})([0-9a-f]{16})-([0-9a-f]{2})$/;
+
+/** Writes the `spans` and `callEvents` sections. */
+export function createTelemetry(board: Board, now: () => number): Telemetry {
+    const spans = board.claimFeed("spans");
+    const events = board.claimFeed("callEvents");
+    return {
+        event: (name, level, fields) => events.append({ name, level, fields }),
+        startSpan(name, traceparent) {
+            const [, givenTrace, parentSpanId, flags = "01"] =
+                traceparentPattern.exec(traceparent ?? "") ?? [];
+            const traceId = givenTrace ?? randomBytes(16).toString("hex");
+            const spanId = randomBytes(8).toString("hex");
+            const startedAt = now();
+            return {
+                traceparent: `00-${traceId}-${spanId}-${flags}`,
+                end(failed, attributes) {
+                    const durationMs = now() - startedAt;
+                    const parent = parentSpanId === undefined ? {} : { parentSpanId };
+                    spans.append({
+                        traceId,
+                        spanId,
+                        ...parent,
+                        name,
+                        startedAt,
+                        durationMs,
+                        failed,
+                        attributes,
+                    });
+                },
+            };
+        },
+    };
+}
--- a/packages/daemon/src/adapters/httpListener.ts
+++ b/packages/daemon/src/adapters/httpListener.ts
@@ -27,10 +27,17 @@
     return server;
 }
 
-/** Stops accepting connections and closes the idle ones. */
+/** Period in which a closing listener looks for connections that became idle, in milliseconds. */
+const idleCheckMs = 100;
+
+/** Stops accepting connections, closes idle ones, and waits for requests in progress. */
 export function closeListener(server: Server): Promise<void> {
     return new Promise(resolve => {
-        server.close(() => resolve());
+        const timer = setInterval(() => server.closeIdleConnections(), idleCheckMs);
+        server.close(() => {
+            clearInterval(timer);
+            resolve();
+        });
         server.closeIdleConnections();
     });
 }
--- a/packages/daemon/src/board.ts
+++ b/packages/daemon/src/board.ts
@@ -6,8 +6,10 @@
     type Blackboard,
     type ConfigurationState,
     type Event,
+    type DrainCommand,
     type Feed,
     type Head,
+    type HostObservation,
     type HostRecord,
     type IncomingMessage,
     type OutgoingMessage,
@@ -16,6 +18,8 @@
     type Problem,
     type Readiness,
     type Revision,
+    type ServiceAdmission,
+    type ServiceTargets,
     type Span,
     type Value,
 } from "@tanagertray/core";
@@ -103,8 +107,14 @@
     joiningOutbox: Feed<OutgoingMessage>;
     readiness: Value<Readiness>;
     shutdown: Value<{ readonly requested: boolean }>;
-    announcements: Feed<Announcement>;
+    announcements: Feed<Announcement | DrainCommand>;
     backendServers: Value<ReadonlyMap<string, BackendServer>>;
+    /** Hosts that offer each service, by tier. */
+    targets: Value<ReadonlyMap<string, ServiceTargets>>;
+    /** What the calls showed of each host, by service and host. */
+    hostObservations: Value<ReadonlyMap<string, ReadonlyMap<string, HostObservation>>>;
+    /** Slots in use and waiting calls, by service. */
+    admissionState: Value<ReadonlyMap<string, ServiceAdmission>>;
     revisionCommands: Feed<RevisionCommand>;
     revisionReplies: Feed<RevisionReply>;
     callsOutbox: Feed<OutgoingMessage>;
@@ -137,6 +147,9 @@
             readiness: { state: ReadinessState.Joining, reason: "starting", floor: 0, since: now },
             shutdown: { requested: false },
             backendServers: new Map(),
+            targets: new Map(),
+            hostObservations: new Map(),
+            admissionState: new Map(),
         },
         feeds: {
             peerInbox: feedCapacity,
--- a/packages/daemon/src/controllers/backendServers.ts
+++ b/packages/daemon/src/controllers/backendServers.ts
@@ -1,44 +1,96 @@
-import type { Announcement, BackendServer } from "@tanagertray/core";
+import {
+    BackendServerState,
+    EventLevel,
+    hasLease,
+    invalidField,
+    isNewerAnnouncement,
+    maxBackendServers,
+    type Announcement,
+    type BackendServer,
+    type DrainCommand,
+} from "@tanagertray/core";
 import type { Board } from "../board.js";
 import type { Closeable } from "../closeable.js";
 
-/** Silence after which a backend server gets no more work, in milliseconds. */
-const announcementLeaseMs = 3_000;
-
-/** Keeps the backend servers of this host from their announcements. */
+/** Keeps the backend servers of this host from their announcements and drain commands. */
 export function createBackendServers(board: Board): Closeable {
     const servers = board.claimValue("backendServers");
+    const events = board.claimFeed("backendServerEvents");
+
+    function take(entry: Announcement | DrainCommand): void {
+        if ("kind" in entry) {
+            takeDrain(entry);
+        } else {
+            takeAnnouncement(entry);
+        }
+    }
 
     function takeAnnouncement(announcement: Announcement): void {
-        const known = board.read("backendServers").get(announcement.id);
-        if (known !== undefined && !isNewer(announcement, known)) {
+        const field = invalidField(announcement);
+        if (field !== undefined) {
+            return warn("backendServer.invalid", { field });
+        }
+        const current = board.read("backendServers");
+        const known = current.get(announcement.id);
+        if (known === undefined && current.size >= maxBackendServers) {
+            return warn("backendServer.tooMany", { id: announcement.id, limit: maxBackendServers });
+        }
+        if (known !== undefined && !isNewerAnnouncement(announcement, known)) {
             return;
         }
-        const { now } = board.read("clock");
-        const firstSeenAt = known?.incarnation === announcement.incarnation ? known.firstSeenAt : now;
-        const server: BackendServer = { ...announcement, announcedAt: now, firstSeenAt };
-        servers.update(current => new Map(current).set(server.id, server));
+        const server = merge(announcement, known, board.read("clock").now);
+        servers.write(new Map(current).set(server.id, server));
+        reportChange(server, known);
+    }
+
+    function takeDrain({ id }: DrainCommand): void {
+        const known = board.read("backendServers").get(id);
+        if (known === undefined) {
+            return warn("backendServer.unknown", { id });
+        }
+        const drainingSince = known.drainingSince ?? board.read("clock").now;
+        const server = { ...known, state: BackendServerState.Draining, drainingSince };
+        servers.update(current => new Map(current).set(id, server));
+        reportChange(server, known);
     }
 
     function dropSilent(): void {
         const { now } = board.read("clock");
         const current = board.read("backendServers");
-        const alive = [...current].filter(([, server]) => now - server.announcedAt <= announcementLeaseMs);
+        const alive = [...current].filter(([, server]) => hasLease(server, now));
         if (alive.length < current.size) {
             servers.write(new Map(alive));
+            [...current.values()]
+                .filter(server => !hasLease(server, now))
+                .forEach(({ id, service }) => warn("backendServer.silent", { id, service }));
+        }
+    }
+
+    function reportChange(server: BackendServer, known: BackendServer | undefined): void {
+        if (known?.state !== server.state || known.incarnation !== server.incarnation) {
+            const { id, service, state, incarnation } = server;
+            const fields = { id, service, state, incarnation };
+            events.append({ name: "backendServer.changed", level: EventLevel.Info, fields });
         }
     }
 
-    const subscriptions = [
-        board.follow("announcements", takeAnnouncement),
-        board.observe(["clock"], dropSilent),
-    ];
+    function warn(name: string, fields: Record<string, string | number>): void {
+        events.append({ name, level: EventLevel.Warn, fields });
+    }
+
+    const subscriptions = [board.follow("announcements", take), board.observe(["clock"], dropSilent)];
     return { close: () => subscriptions.forEach(subscription => subscription.close()) };
 }
 
-function isNewer(announcement: Announcement, known: BackendServer): boolean {
-    return (
-        announcement.incarnation > known.incarnation ||
-        (announcement.incarnation === known.incarnation && announcement.counter > known.counter)
-    );
+/** A drain holds for the rest of the incarnation, whatever the backend server announces later. */
+function merge(announcement: Announcement, known: BackendServer | undefined, now: number): BackendServer {
+    const same = known?.incarnation === announcement.incarnation ? known : undefined;
+    const draining = announcement.state === BackendServerState.Draining;
+    const drainingSince = same?.drainingSince ?? (draining ? now : undefined);
+    return {
+        ...announcement,
+        announcedAt: now,
+        firstSeenAt: same?.firstSeenAt ?? now,
+        ...(drainingSince === undefined ? {} : { state: BackendServerState.Draining, drainingSince }),
+    };
 }
--- /dev/null
+++ b/packages/daemon/src/controllers/routing.ts
@@ -0,0 +1,37 @@
+import { findTargets } from "@tanagertray/core";
+import type { Board } from "../board.js";
+import type { Closeable } from "../closeable.js";
+
+/** Writes the hosts that offer each service, from the records of the hosts. */
+export function createRouting(board: Board): Closeable {
+    const targets = board.claimValue("targets");
+
+    function findAll(): void {
+        const { self, records } = board.read("membership");
+        const others = [...records.values()].filter(record => record.host !== self.host);
+        targets.write(findTargets(self, [...others, { ...self, offers: ownOffers() }]));
+    }
+
+    /** Own backend servers count at once, before the own record was published. */
+    function ownOffers() {
+        const serving = [...board.read("backendServers").values()].filter(
+            server => server.state === "serving",
+        );
+        return [...new Set(serving.map(server => server.service))].map(service => {
+            const ofService = serving.filter(server => server.service === service);
+            return {
+                service,
+                slots: ofService.reduce((sum, server) => sum + (server.slots ?? slotsOf(service)), 0),
+                startedAt: Math.max(...ofService.map(server => server.firstSeenAt)),
+            };
+        });
+    }
+
+    function slotsOf(service: string): number {
+        const resource = board.read("configuration").held?.resources.get(`service/${service}`);
+        return resource?.kind === "service" ? resource.slots : 1;
+    }
+
+    const subscription = board.observe(["membership", "configuration", "backendServers"], findAll);
+    return { close: () => subscription.close() };
+}
