feat(calls): checked announcements, bounds, and scenarios of the decisions

Cause: announcements were taken unchecked, an unreachable host was chosen again on each call, and the decisions had no tests.

--- /dev/null
+++ b/packages/core/features/admission.feature
@@ -0,0 +1,57 @@
+Feature: Backend servers get no more work than they take, and partners share it fairly
+
+    Scenario: The lower of the announced and the configured figures holds
+        Then admission capacities are 3 by slots, 2 by connections and 5 by configuration
+
+    Scenario Outline: A backend server that does not take work gets none
+        When an admission is asked for a backend server that is <state>
+        Then the admission is refused as "noBackendServer" with a time to come back
+
+        Examples:
+            | state    |
+            | draining |
+            | silent   |
+            | unknown  |
+
+    Scenario: Slots are never exceeded, whatever the order of requests and releases
+        Then random admissions and releases never exceed the slots and lose no call
+
+    Scenario: The partner with the fewest slots in use for its share goes first
+        Given an admission state with 4 slots in use by partner "east" of share 1
+        When partner "east" queues 20 calls and then partner "west" of share 3 queues 20 calls
+        Then of the next 8 calls 6 are of "west" and 2 of "east" when each holds its slot
+
+    Scenario: A full queue drops a call of the partner that holds most of it
+        Given an admission state with 4 slots in use by partner "east" of share 1
+        When partner "east" fills the queue and then partner "west" asks
+        Then a waiting call of "east" is dropped and the call of "west" waits
+        And a further call of "east" is refused as "overShare"
+
+    Scenario: A call whose expected wait exceeds its deadline is refused at once
+        Given an admission state with 4 slots in use by partner "east" of share 1
+        When 100 calls wait and a call has 50 ms left where calls take 10 ms
+        Then the admission is refused as "waitTooLong" with a time to come back
+
+    Scenario: Waiting calls leave the queue when their deadline passes or their caller leaves
+        Given an admission state with 4 slots in use by partner "east" of share 1
+        Then expired and cancelled calls are removed and the others stay
+
+    Scenario Outline: Announcements are checked
+        Then an announcement with <field> of <value> is <verdict>
+
+        Examples: A malformed announcement must not become an address that calls are sent to
+            | field       | value                  | verdict |
+            | id          | "s1"                   | valid   |
+            | id          | ""                     | invalid |
+            | id          | "a/b"                  | invalid |
+            | address     | "127.0.0.1:80"         | valid   |
+            | address     | "[::1]:80"             | valid   |
+            | address     | "127.0.0.1:70000"      | invalid |
+            | address     | "127.0.0.1:80/x"       | invalid |
+            | address     | "user@127.0.0.1:80"    | invalid |
+            | state       | "gone"                 | invalid |
+            | incarnation | -1                     | invalid |
+            | counter     | 1.5                    | invalid |
+            | slots       | "4"                    | invalid |
+            | load        | 2                      | invalid |
+            | load        | 0.5                    | valid   |
--- /dev/null
+++ b/packages/core/features/steps/admission.ts
@@ -0,0 +1,230 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import {
+    admitNext,
+    capacitiesOf,
+    createServiceAdmission,
+    maxQueuedCalls,
+    releaseSlot,
+    readAnnouncement,
+    removeExpired,
+    removeWaiting,
+    requestAdmission,
+    type AdmissionDecision,
+    type BackendServer,
+    type Service,
+    type ServiceAdmission,
+    type WaitingCall,
+} from "@tanagertray/core";
+import assert from "node:assert/strict";
+import fc from "fast-check";
+
+interface World {
+    state: ServiceAdmission;
+    decision: AdmissionDecision;
+}
+
+const now = 1_000_000;
+const service: Service = {
+    kind: "service",
+    name: "s",
+    slots: 5,
+    connections: 100,
+    drainMs: 0,
+    coldStartMs: 0,
+};
+
+function serverOf(change: Partial<BackendServer> = {}): BackendServer {
+    return {
+        id: "b1",
+        service: "s",
+        address: "127.0.0.1:80",
+        incarnation: 1,
+        counter: 1,
+        state: "serving",
+        announcedAt: now,
+        firstSeenAt: now,
+        ...change,
+    };
+}
+
+let nextId = 0;
+function callOf(partner: string, share: number, leftMs = 10_000): WaitingCall {
+    nextId += 1;
+    return { callId: `c${nextId}`, partner, share, deadline: now + leftMs };
+}
+
+const capacities = capacitiesOf(service, [serverOf({ slots: 4 })], now);
+const ask = (world: World, call: WaitingCall) => requestAdmission(world.state, call, capacities, now);
+
+Then("admission capacities are 3 by slots, 2 by connections and 5 by configuration", function () {
+    const servers = [
+        serverOf({ id: "a", slots: 3 }),
+        serverOf({ id: "b", connections: 2 }),
+        serverOf({ id: "c", slots: 50 }),
+    ];
+    const slots = capacitiesOf(service, servers, now).map(capacity => capacity.slots);
+    assert.deepEqual(slots, [3, 2, 5]);
+});
+
+const unusable: Record<string, BackendServer[]> = {
+    draining: [serverOf({ state: "draining" })],
+    silent: [serverOf({ announcedAt: now - 3_001 })],
+    unknown: [serverOf({ service: "other" })],
+};
+
+When("an admission is asked for a backend server that is {word}", function (this: World, state: string) {
+    const servers = unusable[state] as BackendServer[];
+    this.decision = requestAdmission(
+        createServiceAdmission(),
+        callOf("east", 1),
+        capacitiesOf(service, servers, now),
+        now,
+    );
+});
+
+Then("the admission is refused as {string} with a time to come back", function (this: World, reason: string) {
+    assert.ok(this.decision.kind === "refused");
+    assert.equal(this.decision.refusal.reason, reason);
+    assert.ok(this.decision.refusal.retryAfterMs > 0);
+});
+
+Then("random admissions and releases never exceed the slots and lose no call", function () {
+    const steps = fc.array(fc.constantFrom("askEast", "askWest", "release"), { maxLength: 300 });
+    fc.assert(
+        fc.property(steps, list => {
+            const state = createServiceAdmission();
+            const running: string[] = [];
+            const counts = { asked: 0, refused: 0, ended: 0 };
+            const pump = () => {
+                for (let next = admitNext(state, capacities); next; next = admitNext(state, capacities)) {
+                    running.push(next.call.partner);
+                }
+            };
+            for (const step of list) {
+                if (step === "release") {
+                    const partner = running.shift();
+                    if (partner !== undefined) {
+                        releaseSlot(state, partner, "b1", 1);
+                        counts.ended += 1;
+                        pump();
+                    }
+                    continue;
+                }
+                const partner = step === "askEast" ? "east" : "west";
+                const decision = requestAdmission(state, callOf(partner, 1), capacities, now);
+                counts.asked += 1;
+                counts.refused += decision.kind === "refused" ? 1 : 0;
+                counts.refused += decision.kind === "queued" && decision.dropped !== undefined ? 1 : 0;
+                if (decision.kind === "admitted") {
+                    running.push(partner);
+                }
+                assert.ok(running.length <= 4);
+                assert.ok(state.queued <= maxQueuedCalls);
+            }
+            assert.equal(counts.asked, counts.refused + counts.ended + running.length + state.queued);
+        }),
+        { seed: 11, numRuns: 200 },
+    );
+});
+
+Given(
+    "an admission state with {int} slots in use by partner {string} of share {int}",
+    function (this: World, slots: number, partner: string, share: number) {
+        this.state = createServiceAdmission();
+        for (let i = 0; i < slots; i += 1) {
+            assert.equal(ask(this, callOf(partner, share)).kind, "admitted");
+        }
+    },
+);
+
+When(
+    "partner {string} queues {int} calls and then partner {string} of share {int} queues {int} calls",
+    function (this: World, first: string, firstCalls: number, second: string, share: number, calls: number) {
+        for (let i = 0; i < firstCalls; i += 1) {
+            assert.equal(ask(this, callOf(first, 1)).kind, "queued");
+        }
+        for (let i = 0; i < calls; i += 1) {
+            assert.equal(ask(this, callOf(second, share)).kind, "queued");
+        }
+    },
+);
+
+Then(
+    "of the next {int} calls {int} are of {string} and {int} of {string} when each holds its slot",
+    function (
+        this: World,
+        total: number,
+        first: number,
+        firstName: string,
+        second: number,
+        secondName: string,
+    ) {
+        [1, 2, 3, 4].forEach(() => releaseSlot(this.state, "east", "b1", 10));
+        const wide = capacitiesOf({ ...service, slots: total }, [serverOf()], now);
+        const admitted = Array.from({ length: total }, () => admitNext(this.state, wide)?.call.partner);
+        assert.equal(admitted.filter(partner => partner === firstName).length, first);
+        assert.equal(admitted.filter(partner => partner === secondName).length, second);
+    },
+);
+
+When(
+    "partner {string} fills the queue and then partner {string} asks",
+    function (this: World, first: string, second: string) {
+        for (let i = 0; i < maxQueuedCalls; i += 1) {
+            assert.equal(ask(this, callOf(first, 1)).kind, "queued");
+        }
+        this.decision = ask(this, callOf(second, 1));
+    },
+);
+
+Then(
+    "a waiting call of {string} is dropped and the call of {string} waits",
+    function (this: World, dropped: string, waiting: string) {
+        assert.ok(this.decision.kind === "queued");
+        assert.equal(this.decision.dropped?.partner, dropped);
+        assert.equal(this.state.partners.get(waiting)?.queue.length, 1);
+        assert.equal(this.state.queued, maxQueuedCalls);
+    },
+);
+
+Then(
+    "a further call of {string} is refused as {string}",
+    function (this: World, partner: string, reason: string) {
+        const decision = ask(this, callOf(partner, 1));
+        assert.ok(decision.kind === "refused");
+        assert.equal(decision.refusal.reason, reason);
+    },
+);
+
+When(
+    "{int} calls wait and a call has {int} ms left where calls take 10 ms",
+    function (this: World, waiting: number, leftMs: number) {
+        for (let i = 0; i < waiting; i += 1) {
+            assert.equal(ask(this, callOf("east", 1)).kind, "queued");
+        }
+        this.decision = ask(this, callOf("west", 1, leftMs));
+    },
+);
+
+Then("expired and cancelled calls are removed and the others stay", function (this: World) {
+    const calls = [callOf("east", 1, 100), callOf("east", 1, 200), callOf("west", 1, 300)];
+    calls.forEach(call => assert.equal(ask(this, call).kind, "queued"));
+    assert.deepEqual(removeExpired(this.state, now + 150), [calls[0]]);
+    assert.equal(removeWaiting(this.state, calls[1] as WaitingCall), true);
+    assert.equal(removeWaiting(this.state, calls[1] as WaitingCall), false);
+    assert.equal(this.state.queued, 1);
+    releaseSlot(this.state, "east", "b1", 10);
+    assert.equal(admitNext(this.state, capacities)?.call, calls[2]);
+});
+
+Then(
+    /^an announcement with (\w+) of (.+) is (valid|invalid)$/,
+    function (field: string, value: string, verdict: string) {
+        const read = readAnnouncement({ ...serverOf(), [field]: JSON.parse(value) as unknown });
+        assert.equal(read.isRight(), verdict === "valid");
+        read.ifLeft(({ where }) => assert.equal(where, field));
+        read.ifRight(announcement =>
+            assert.ok(!("announcedAt" in announcement), "an unknown field was taken"),
+        );
+    },
+);
--- /dev/null
+++ b/packages/core/features/steps/callRules.ts
@@ -0,0 +1,105 @@
+import { Given, Then } from "@cucumber/cucumber";
+import {
+    createFateTable,
+    createRetryBudget,
+    deadlineAt,
+    finishCall,
+    maxFates,
+    nextStepAfter,
+    noteCall,
+    parseDeadlineMs,
+    refusal,
+    RefusalReason,
+    remainingMs,
+    settleFate,
+    startCall,
+    statusOfRefusal,
+    takeRetry,
+    type FateTable,
+} from "@tanagertray/core";
+import assert from "node:assert/strict";
+
+interface World {
+    table: FateTable;
+}
+
+Then("a call deadline is the shorter of the operation's and the caller's, less what was spent", function () {
+    assert.equal(deadlineAt(1_000, 500, undefined), 1_500);
+    assert.equal(deadlineAt(1_000, 500, 200), 1_200);
+    assert.equal(deadlineAt(1_000, 500, 9_000), 1_500);
+    assert.equal(remainingMs(1_500, 1_100.5), 399);
+    assert.equal(remainingMs(1_500, 1_600), 0);
+    const texts = ["1", "600000", "0", "-1", "1.5", "1e3", "600001", "9999999", "", " 5"];
+    assert.deepEqual(
+        texts.filter(text => parseDeadlineMs(text) !== undefined),
+        ["1", "600000"],
+    );
+});
+
+Then("1000 calls that all want retries get at most 110, and no call gets more than 2", function () {
+    const budget = createRetryBudget();
+    let total = 0;
+    for (let i = 0; i < 1_000; i += 1) {
+        noteCall(budget);
+        let retries = 0;
+        while (takeRetry(budget, retries)) {
+            retries += 1;
+        }
+        assert.ok(retries <= 2);
+        total += retries;
+    }
+    assert.ok(total <= 110 && total >= 100, `${total} retries`);
+});
+
+Then("the next step after each call failure is as the design says", function () {
+    const steps = (["refused", "neverWritten", "lost", "truncated"] as const).map(failure =>
+        [
+            { repeatable: true, replayable: true, remote: true },
+            { repeatable: false, replayable: true, remote: true },
+            { repeatable: false, replayable: true, remote: false },
+            { repeatable: true, replayable: false, remote: false },
+        ].map(context => nextStepAfter(failure, context)),
+    );
+    assert.deepEqual(steps, [
+        ["retry", "retry", "retry", "sayNotRun"],
+        ["retry", "retry", "retry", "sayNotRun"],
+        ["retry", "askFate", "sayUnknown", "sayUnknown"],
+        ["reset", "reset", "reset", "reset"],
+    ]);
+});
+
+Given("a fate table", function (this: World) {
+    this.table = createFateTable();
+});
+
+Then(
+    "a barred call cannot start, a started call is running, then finished, and cannot start again",
+    function (this: World) {
+        assert.equal(settleFate(this.table, "a", 100, 0), "barred");
+        assert.equal(startCall(this.table, "a", 100, 0), false);
+        assert.equal(startCall(this.table, "b", 100, 0), true);
+        assert.equal(settleFate(this.table, "b", 100, 0), "running");
+        finishCall(this.table, "b");
+        assert.equal(settleFate(this.table, "b", 100, 0), "finished");
+        assert.equal(startCall(this.table, "b", 100, 0), false);
+    },
+);
+
+Then("a full table neither starts nor bars a call, and expired entries make room", function (this: World) {
+    for (let i = 0; i < maxFates; i += 1) {
+        assert.equal(startCall(this.table, `c${i}`, 100, 0), true);
+    }
+    assert.equal(startCall(this.table, "x", 100, 50), false);
+    assert.equal(settleFate(this.table, "y", 100, 50), "running");
+    finishCall(this.table, "c0");
+    assert.equal(startCall(this.table, "x", 300, 200), true);
+    assert.equal(settleFate(this.table, "c1", 300, 200), "running", "a running call was forgotten");
+});
+
+Then("every refusal reason has a status of 4xx or 5xx and a positive time", function () {
+    for (const reason of Object.values(RefusalReason)) {
+        const status = statusOfRefusal(reason);
+        assert.ok(status >= 400 && status < 600);
+        assert.ok(refusal(reason).retryAfterMs > 0);
+    }
+});
--- a/packages/core/src/admission/announcement.ts
+++ b/packages/core/src/admission/announcement.ts
@@ -1,3 +1,5 @@
+import { Left, Right, type Either } from "purify-ts/Either";
+import { problem, ProblemCode, type Problem } from "../problem.js";
 import { BackendServerState, type Announcement, type BackendServer } from "./backendServer.js";
 
 /** Silence after which a backend server gets no more work, in milliseconds. */
@@ -9,9 +11,24 @@
 const addressPattern = /^(\d{1,3}(?:\.\d{1,3}){3}|\[[0-9A-Fa-f:.]{2,45}\]):([1-9]\d{0,4})$/;
 const states: ReadonlySet<unknown> = new Set(Object.values(BackendServerState));
 
-/** Names the first field of an announcement that is not valid, or `undefined` when all are. */
-export function invalidField(announcement: Announcement): keyof Announcement | undefined {
-    return (Object.keys(checks) as (keyof Announcement)[]).find(field => !checks[field](announcement[field]));
+/**
+ * Checks an announcement as it was received and takes its known fields.
+ *
+ * @returns a problem that names the first field that is not valid
+ */
+export function readAnnouncement(value: unknown): Either<Problem, Announcement> {
+    if (typeof value !== "object" || value === null) {
+        return Left(problem(ProblemCode.MalformedMessage, "the announcement is not an object"));
+    }
+    const given = value as Readonly<Record<string, unknown>>;
+    const fields = Object.keys(checks) as (keyof Announcement)[];
+    const invalid = fields.find(field => !checks[field](given[field]));
+    if (invalid !== undefined) {
+        const message = `field "${invalid}" of the announcement is not valid`;
+        return Left(problem(ProblemCode.MalformedMessage, message, { where: invalid }));
+    }
+    const present = fields.filter(field => given[field] !== undefined);
+    return Right(Object.fromEntries(present.map(field => [field, given[field]])) as unknown as Announcement);
 }
 
 const checks = {
--- a/packages/core/src/calls/refusal.ts
+++ b/packages/core/src/calls/refusal.ts
@@ -71,6 +71,7 @@
     RefusalReason.NoBackendServer,
     RefusalReason.Draining,
     RefusalReason.NotReady,
+    RefusalReason.Unreachable,
 ]);
 
 export function saysSaturated(reason: string | undefined): boolean {
--- /dev/null
+++ b/packages/daemon/features/backendServers.feature
@@ -0,0 +1,33 @@
+Feature: A host knows its backend servers from their announcements
+
+    Background:
+        Given a backend server board
+
+    Scenario: A silent backend server is dropped after its lease of 3 s
+        When backend server "s1" announces itself at 0 ms
+        Then backend servers "s1" are known at 3000 ms
+        And no backend servers are known at 3001 ms
+        And the backend server events are "changed, silent"
+
+    Scenario: A late announcement does not replace a newer one
+        When backend server "s1" announces itself with counter 5 as "draining"
+        And backend server "s1" announces itself with counter 4 as "serving"
+        Then backend server "s1" is "draining"
+
+    Scenario: A drain holds until the backend server starts anew
+        When backend server "s1" announces itself with counter 1 as "serving"
+        And backend server "s1" is drained by command
+        And backend server "s1" announces itself with counter 2 as "serving"
+        Then backend server "s1" is "draining"
+        When backend server "s1" starts anew
+        Then backend server "s1" is "serving"
+
+    Scenario: Malformed announcements and commands for unknown backend servers are reported and ignored
+        When malformed backend server announcements arrive
+        And backend server "s9" is drained by command
+        Then no backend servers are known at 0 ms
+        And the backend server events are "invalid, invalid, invalid, unknown"
+
+    Scenario: The number of backend servers is bounded
+        When 70 backend servers announce themselves
+        Then 64 backend servers are known and 6 were reported as too many
--- /dev/null
+++ b/packages/daemon/features/steps/backendServers.ts
@@ -0,0 +1,113 @@
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import type { Announcement, DrainCommand, Event, FeedWriter, ValueWriter } from "@tanagertray/core";
+import { createBoard, type Board, type ClockState } from "@tanagertray/daemon/board";
+import { createBackendServers } from "@tanagertray/daemon/controllers/backendServers";
+import { resolveSettings } from "@tanagertray/daemon/settings/resolveSettings";
+import assert from "node:assert/strict";
+import { setImmediate } from "node:timers/promises";
+
+interface World {
+    serverBoard?: Board;
+    announcements: FeedWriter<Announcement | DrainCommand>;
+    clock: ValueWriter<ClockState>;
+    events: Event[];
+}
+
+const boardOf = (world: World) => world.serverBoard as Board;
+
+Given("a backend server board", function (this: World) {
+    const endpoint = "127.0.0.1:0";
+    const settings = resolveSettings({
+        host: "h1",
+        failureDomain: "d1",
+        region: "r1",
+        listen: { calls: endpoint, peer: endpoint, admin: endpoint },
+        platform: { url: "http://127.0.0.1:9" },
+        keys: { operator: [], backendServer: [], peer: [] },
+    });
+    const board = createBoard(settings, 0);
+    this.serverBoard = board;
+    this.announcements = board.claimFeed("announcements");
+    this.clock = board.claimValue("clock");
+    this.events = [];
+    board.follow("backendServerEvents", event => this.events.push(event));
+    createBackendServers(board);
+});
+
+After(function (this: Partial<World>) {
+    this.serverBoard?.close();
+});
+
+function announcementOf(id: string, change: Partial<Announcement> = {}): Announcement {
+    const address = "127.0.0.1:80";
+    return { id, service: "s", address, incarnation: 1, counter: 1, state: "serving", ...change };
+}
+
+async function append(world: World, entry: unknown): Promise<void> {
+    world.announcements.append(entry as Announcement);
+    await setImmediate();
+}
+
+When("backend server {string} announces itself at 0 ms", async function (this: World, id: string) {
+    await append(this, announcementOf(id));
+});
+
+When(
+    "backend server {string} announces itself with counter {int} as {string}",
+    async function (this: World, id: string, counter: number, state: Announcement["state"]) {
+        await append(this, announcementOf(id, { counter, state }));
+    },
+);
+
+When("backend server {string} starts anew", async function (this: World, id: string) {
+    await append(this, announcementOf(id, { incarnation: 2 }));
+});
+
+When("backend server {string} is drained by command", async function (this: World, id: string) {
+    await append(this, { kind: "drain", id });
+});
+
+When("malformed backend server announcements arrive", async function (this: World) {
+    await append(this, null);
+    await append(this, {});
+    await append(this, announcementOf("s1", { address: "elsewhere" }));
+});
+
+When("{int} backend servers announce themselves", async function (this: World, count: number) {
+    for (let i = 0; i < count; i += 1) {
+        await append(this, announcementOf(`s${i}`));
+    }
+});
+
+async function knownAt(world: World, now: number): Promise<readonly string[]> {
+    world.clock.write({ now, pausedForMs: 0 });
+    await setImmediate();
+    return [...boardOf(world).read("backendServers").keys()];
+}
+
+Then("backend servers {string} are known at {int} ms", async function (this: World, id: string, now: number) {
+    assert.deepEqual(await knownAt(this, now), [id]);
+});
+
+Then("no backend servers are known at {int} ms", async function (this: World, now: number) {
+    assert.deepEqual(await knownAt(this, now), []);
+});
+
+Then("backend server {string} is {string}", function (this: World, id: string, state: string) {
+    assert.equal(boardOf(this).read("backendServers").get(id)?.state, state);
+});
+
+Then("the backend server events are {string}", async function (this: World, names: string) {
+    await setImmediate();
+    const seen = this.events.map(event => event.name.replace("backendServer.", ""));
+    assert.equal(seen.join(", "), names);
+});
+
+Then(
+    "{int} backend servers are known and {int} were reported as too many",
+    function (this: World, known: number, refused: number) {
+        assert.equal(boardOf(this).read("backendServers").size, known);
+        const tooMany = this.events.filter(event => event.name === "backendServer.tooMany");
+        assert.equal(tooMany.length, refused);
+    },
+);
--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -1,5 +1,6 @@
 import {
     AttemptFailure,
+    defaultRetryAfterMs,
     noteEnd,
     noteFailure,
     noteLoad,
@@ -68,6 +69,10 @@
         noteRefusal(seen, context.now(), { saturated: saysSaturated(reason), retryAfterMs });
     } else if (outcome.failure !== undefined && attempt.signal.reason !== callerLeft) {
         noteFailure(seen, context.now());
+        if (outcome.failure === AttemptFailure.NeverWritten) {
+            // No connection could be opened, so the next calls would only spend the retry budget.
+            noteRefusal(seen, context.now(), { saturated: true, retryAfterMs: defaultRetryAfterMs });
+        }
     }
     return outcome;
 }
--- a/packages/daemon/src/adapters/calls/constants.ts
+++ b/packages/daemon/src/adapters/calls/constants.ts
@@ -1,5 +1,7 @@
 /** Bytes of a request body that are sent and kept before the call is admitted. */
 export const keptBodyBytes = 65_536;
+/** Calls in progress on one daemon, of callers and of other daemons together. */
+export const maxCallsInProgress = 8_192;
 /** Headers of one request. */
 export const maxHeaders = 100;
 /** Longest time that a call waits for a slot, in milliseconds. Shorter than `hopSilenceMs`. */
--- a/packages/daemon/src/adapters/calls/handleEntry.ts
+++ b/packages/daemon/src/adapters/calls/handleEntry.ts
@@ -53,7 +53,7 @@
     response: ServerResponse,
 ): Promise<void> {
     const { board, telemetry } = context;
-    const checked = checkAdmitting(board).chain(() => readCall(board, request));
+    const checked = checkAdmitting(context).chain(() => readCall(board, request));
     if (checked.isLeft()) {
         const refused = checked.extract() as Refusal;
         telemetry.event("call.refused", "info", { reason: refused.reason });
--- a/packages/daemon/src/adapters/calls/handleHop.ts
+++ b/packages/daemon/src/adapters/calls/handleHop.ts
@@ -28,7 +28,7 @@
     response: ServerResponse,
 ): Promise<void> {
     const { board } = context;
-    const checked = checkAdmitting(board)
+    const checked = checkAdmitting(context)
         .chain(() => readCall(board, request))
         .chain(call => verify(context, call));
     if (checked.isLeft()) {
--- a/packages/daemon/src/adapters/calls/incoming.ts
+++ b/packages/daemon/src/adapters/calls/incoming.ts
@@ -10,6 +10,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Left, Right, type Either } from "purify-ts/Either";
 import type { Board } from "../../board.js";
+import { maxCallsInProgress } from "./constants.js";
 import type { CallContext } from "./context.js";
 import { readRequestHead, type RequestHead } from "./headers.js";
 
@@ -30,7 +31,10 @@
 const urlPattern = /^\/([A-Za-z0-9][A-Za-z0-9._-]*)(\/[!-~]*)?$/;
 
 /** Whether this host takes new calls. */
-export function checkAdmitting(board: Board): Either<Refusal, true> {
+export function checkAdmitting({ board, cancels }: CallContext): Either<Refusal, true> {
+    if (cancels.size >= maxCallsInProgress) {
+        return Left(refusal(RefusalReason.QueueFull));
+    }
     const { state } = board.read("readiness");
     if (board.read("shutdown").requested || state === ReadinessState.Draining) {
         return Left(refusal(RefusalReason.Draining));
--- a/packages/daemon/src/adapters/httpListener.ts
+++ b/packages/daemon/src/adapters/httpListener.ts
@@ -1,3 +1,4 @@
+import { maxDeadlineMs } from "@tanagertray/core";
 import { createServer, type RequestListener, type Server } from "node:http";
 import type { Endpoint } from "../settings/settings.js";
 
@@ -5,6 +6,8 @@
 const maxHeaderBytes = 16_384;
 /** Time for a request's headers to arrive, in milliseconds. */
 const headersTimeoutMs = 10_000;
+/** Time for a whole request to arrive: the longest deadline of a call, in milliseconds. */
+const requestTimeoutMs = maxDeadlineMs;
 /** Idle time of a kept-alive connection, in milliseconds. Longer than that of the clients' pools. */
 const keepAliveTimeoutMs = 30_000;
 
@@ -14,6 +17,7 @@
         {
             maxHeaderSize: maxHeaderBytes,
             headersTimeout: headersTimeoutMs,
+            requestTimeout: requestTimeoutMs,
             keepAliveTimeout: keepAliveTimeoutMs,
             insecureHTTPParser: false,
             requireHostHeader: true,
--- a/packages/daemon/src/controllers/backendServers.ts
+++ b/packages/daemon/src/controllers/backendServers.ts
@@ -2,12 +2,13 @@
     BackendServerState,
     EventLevel,
     hasLease,
-    invalidField,
     isNewerAnnouncement,
     maxBackendServers,
+    readAnnouncement,
     type Announcement,
     type BackendServer,
     type DrainCommand,
+    type Event,
 } from "@tanagertray/core";
 import type { Board } from "../board.js";
 import type { Closeable } from "../closeable.js";
@@ -18,18 +19,16 @@
     const events = board.claimFeed("backendServerEvents");
 
     function take(entry: Announcement | DrainCommand): void {
-        if ("kind" in entry) {
+        if (typeof entry === "object" && entry !== null && "kind" in entry) {
             takeDrain(entry);
         } else {
-            takeAnnouncement(entry);
+            readAnnouncement(entry)
+                .ifLeft(({ message, where }) => warn("backendServer.invalid", { message, field: where }))
+                .ifRight(takeAnnouncement);
         }
     }
 
     function takeAnnouncement(announcement: Announcement): void {
-        const field = invalidField(announcement);
-        if (field !== undefined) {
-            return warn("backendServer.invalid", { field });
-        }
         const current = board.read("backendServers");
         const known = current.get(announcement.id);
         if (known === undefined && current.size >= maxBackendServers) {
@@ -74,7 +73,7 @@
         }
     }
 
-    function warn(name: string, fields: Record<string, string | number>): void {
+    function warn(name: string, fields: Event["fields"]): void {
         events.append({ name, level: EventLevel.Warn, fields });
     }
 
