fix(calls): marks of saturation no longer refuse calls that a host would take

Cause: a refusal for a call's own short deadline marked its host as saturated for all calls, and a call was refused when every host carried a mark. Change: the refusal waitTooLong sets no mark, and when all hosts are marked the marks are ignored; the drain limit aborts the call's own control instead of a combined signal. Conclusion: the host alone decides what it cannot take.

--- a/packages/core/features/routing.feature
+++ b/packages/core/features/routing.feature
@@ -27,6 +27,8 @@
         Then a thousand choices go to the other host of the own domain
         When both hosts of the own domain are saturated
         Then a thousand choices go to the other region
+        When every host is saturated
+        Then a thousand choices stay in the own domain
 
     Scenario Outline: The better of two random hosts is chosen
         Given routing targets of 2 hosts in the own domain and 2 in another region
--- a/packages/core/features/steps/routing.ts
+++ b/packages/core/features/steps/routing.ts
@@ -142,6 +142,10 @@
     saturate(this, "near2");
 });
 
+When("every host is saturated", function (this: World) {
+    this.observations.forEach((_seen, host) => saturate(this, host));
+});
+
 Then("a thousand choices go to the other host of the own domain", function (this: World) {
     assert.deepEqual(chosenHosts(this), ["near2"]);
 });
--- a/packages/core/src/calls/refusal.ts
+++ b/packages/core/src/calls/refusal.ts
@@ -67,7 +67,6 @@
 /** Refusals that say that the host itself is busy, so that the next tier may be used. */
 const saturationReasons: ReadonlySet<string> = new Set([
     RefusalReason.QueueFull,
-    RefusalReason.WaitTooLong,
     RefusalReason.NoBackendServer,
     RefusalReason.Draining,
     RefusalReason.NotReady,
--- a/packages/core/src/routing/selection.ts
+++ b/packages/core/src/routing/selection.ts
@@ -22,10 +22,24 @@
     readonly tier: Tier;
 }
 
-/** Chooses a host: the first tier with a usable host, and the better of two random hosts of it. */
+/**
+ * Chooses a host: the first tier with a usable host, and the better of two random hosts of it.
+ * When every host is marked as saturated the marks are ignored, because they may be out of date
+ * and the host itself refuses what it cannot take.
+ */
 export function chooseTarget(targets: ServiceTargets, options: SelectionOptions): Selection | undefined {
+    return chooseFrom(targets, options, isSaturated) ?? chooseFrom(targets, options, () => false);
+}
+
+type Skip = (target: Target, options: SelectionOptions) => boolean;
+
+function isSaturated({ host }: Target, { observations, now }: SelectionOptions): boolean {
+    return (observations.get(host)?.saturatedUntil ?? 0) > now;
+}
+
+function chooseFrom(targets: ServiceTargets, options: SelectionOptions, skip: Skip): Selection | undefined {
     for (const tier of tierOrder) {
-        const usable = usableTargets(targets[tier], options);
+        const usable = usableTargets(targets[tier], options, skip);
         if (usable.length > 0) {
             return { target: betterOfTwo(usable, options), tier };
         }
@@ -33,13 +47,10 @@
     return undefined;
 }
 
-function usableTargets(tier: readonly Target[], options: SelectionOptions): readonly Target[] {
+function usableTargets(tier: readonly Target[], options: SelectionOptions, skip: Skip): readonly Target[] {
     const ejected = ejectedHosts(tier, options);
     return tier.filter(
-        ({ host }) =>
-            !options.excluded.has(host) &&
-            !ejected.has(host) &&
-            (options.observations.get(host)?.saturatedUntil ?? 0) <= options.now,
+        target => !options.excluded.has(target.host) && !ejected.has(target.host) && !skip(target, options),
     );
 }
 
--- a/packages/daemon/src/adapters/calls/admissions.ts
+++ b/packages/daemon/src/adapters/calls/admissions.ts
@@ -25,14 +25,13 @@
 /** The right to use one slot of a backend server. */
 export interface Slot {
     readonly server: BackendServer;
-    /** Aborted when the backend server has drained for as long as it may. */
-    readonly signal: AbortSignal;
     /** Gives the slot back; a backend server that was not reachable is avoided for a short time. */
     release(options: { readonly reachable: boolean }): void;
 }
 
 export interface Admissions {
-    acquire(service: Service, call: WaitingCall, signal: AbortSignal): Promise<Either<Refusal, Slot>>;
+    /** Waits for a slot. The control is aborted when the backend server has drained for as long as it may. */
+    acquire(service: Service, call: WaitingCall, control: AbortController): Promise<Either<Refusal, Slot>>;
     /** Load of the service on this host, from 0 to 1. */
     load(service: Service): number;
     close(): void;
@@ -46,7 +45,7 @@
 export function createAdmissions(board: Board, now: () => number): Admissions {
     const section = board.claimValue("admissionState");
     const states = new Map<string, ServiceAdmission>();
-    const waiting = new Map<WaitingCall, (outcome: Either<Refusal, Slot>) => void>();
+    const waiting = new Map<WaitingCall, (outcome: Either<Refusal, BackendServer>) => void>();
     const held = new Map<Slot, { readonly control: AbortController; readonly service: string }>();
     const avoidedUntil = new Map<string, number>();
     section.write(states);
@@ -71,12 +70,15 @@
         return state;
     }
 
-    function createSlot(service: string, call: WaitingCall, server: BackendServer): Slot {
-        const control = new AbortController();
+    function createSlot(
+        service: string,
+        call: WaitingCall,
+        server: BackendServer,
+        control: AbortController,
+    ): Slot {
         const takenAt = now();
         const slot: Slot = {
             server,
-            signal: control.signal,
             release({ reachable }) {
                 if (!reachable) {
                     avoidedUntil.set(server.id, now() + avoidMs);
@@ -105,26 +107,28 @@
             return all.forEach(call => answer(call, Left(refusal(RefusalReason.NoBackendServer))));
         }
         for (let next = admitNext(state, current); next !== undefined; next = admitNext(state, current)) {
-            answer(next.call, Right(createSlot(name, next.call, next.server)));
+            answer(next.call, Right(next.server));
         }
     }
 
-    function answer(call: WaitingCall, outcome: Either<Refusal, Slot>): void {
+    function answer(call: WaitingCall, outcome: Either<Refusal, BackendServer>): void {
         waiting.get(call)?.(outcome);
         waiting.delete(call);
     }
 
-    function acquire(service: Service, call: WaitingCall, signal: AbortSignal) {
+    function acquire(service: Service, call: WaitingCall, control: AbortController) {
         const state = stateOf(service.name);
         const decision = requestAdmission(state, call, capacities(service), now());
         return new Promise<Either<Refusal, Slot>>(resolve => {
             const handlers = {
                 [AdmissionKind.Admitted]: ({ server }: { server: BackendServer }) =>
-                    resolve(Right(createSlot(service.name, call, server))),
+                    resolve(Right(createSlot(service.name, call, server, control))),
                 [AdmissionKind.Refused]: (refused: { refusal: Refusal }) => resolve(Left(refused.refusal)),
                 [AdmissionKind.Queued]: ({ dropped }: { dropped?: WaitingCall }) => {
-                    waiting.set(call, resolve);
-                    signal.addEventListener("abort", () => leave(state, call), { once: true });
+                    waiting.set(call, outcome =>
+                        resolve(outcome.map(server => createSlot(service.name, call, server, control))),
+                    );
+                    control.signal.addEventListener("abort", () => leave(state, call), { once: true });
                     if (dropped !== undefined) {
                         answer(dropped, Left(refusal(RefusalReason.OverShare)));
                     }
--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -35,7 +35,7 @@
     readonly selection: Selection;
     readonly body: BodyAttempt;
     readonly traceparent: string;
-    readonly signal: AbortSignal;
+    readonly control: AbortController;
     readonly onHead: (status: number, rawHeaders: string[]) => ResponseSink;
 }
 
@@ -67,7 +67,7 @@
     if (outcome.refusal !== undefined && outcome.failure === AttemptFailure.Refused) {
         const { reason, retryAfterMs } = outcome.refusal;
         noteRefusal(seen, context.now(), { saturated: saysSaturated(reason), retryAfterMs });
-    } else if (outcome.failure !== undefined && attempt.signal.reason !== callerLeft) {
+    } else if (outcome.failure !== undefined && attempt.control.signal.reason !== callerLeft) {
         noteFailure(seen, context.now());
         if (outcome.failure === AttemptFailure.NeverWritten) {
             // No connection could be opened, so the next calls would only spend the retry budget.
@@ -131,7 +131,7 @@
         path: call.url,
         headers: hopHeaders(context, attempt),
         body: body.chunks,
-        signal: attempt.signal,
+        signal: attempt.control.signal,
         headSilenceMs: hopSilenceMs,
         bodySilenceMs,
         mayWrite: () => remainingMs(attempt.deadline, context.now()) > 0,
--- a/packages/daemon/src/adapters/calls/handleEntry.ts
+++ b/packages/daemon/src/adapters/calls/handleEntry.ts
@@ -34,7 +34,7 @@
     readonly callId: string;
     readonly deadline: number;
     readonly body: RequestBody;
-    readonly signal: AbortSignal;
+    readonly control: AbortController;
     readonly response: ServerResponse;
     readonly traceparent: string;
     readonly excluded: Set<string>;
@@ -73,7 +73,7 @@
             maxBytes: operation.maxBodyBytes,
             repeatable: operation.repeatable,
         }),
-        signal: cancel.signal,
+        control: cancel.control,
         response,
         traceparent: span.traceparent,
         excluded: new Set(),
@@ -84,7 +84,7 @@
     };
     noteCall(context.retryBudget);
     if (call.head.hasBody && call.head.declaredBytes === undefined) {
-        await entry.body.awaitFirst(cancel.signal);
+        await entry.body.awaitFirst(cancel.control.signal);
     }
     const result = await carry(context, entry);
     cancel.close();
@@ -110,7 +110,7 @@
 async function carry(context: CallContext, entry: EntryCall): Promise<CallResult> {
     for (;;) {
         const selection = select(context, entry);
-        if (selection === undefined || entry.signal.aborted || entry.body.tooLarge()) {
+        if (selection === undefined || entry.control.signal.aborted || entry.body.tooLarge()) {
             return finish(entry);
         }
         entry.excluded.add(selection.target.host);
@@ -161,7 +161,7 @@
     selection: Selection,
     attemptId: string,
 ): Promise<AttemptOutcome> {
-    const { call, callId, deadline, response, signal, traceparent } = entry;
+    const { call, callId, deadline, response, control, traceparent } = entry;
     const body = entry.body.open();
     const outcome = await makeAttempt(context, {
         call,
@@ -171,7 +171,7 @@
         selection,
         body,
         traceparent,
-        signal,
+        control,
         onHead(status, raw) {
             const closing = context.board.read("shutdown").requested ? ["connection", "close"] : [];
             response.writeHead(status, [...responseHeaders(raw, keptHeaders), ...closing]);
@@ -196,7 +196,7 @@
     if (outcome.failure === AttemptFailure.Refused && isFinalRefusal(outcome.refusal?.reason ?? "")) {
         return NextStep.SayNotRun;
     }
-    if (outcome.failure !== AttemptFailure.Lost || entry.signal.reason === callerLeft) {
+    if (outcome.failure !== AttemptFailure.Lost || entry.control.signal.reason === callerLeft) {
         return step;
     }
     if (step === NextStep.AskFate) {
@@ -221,7 +221,7 @@
     }
     const refused = entry.body.tooLarge()
         ? refusal(RefusalReason.TooLarge)
-        : entry.signal.aborted
+        : entry.control.signal.aborted
           ? refusal(RefusalReason.DeadlinePassed)
           : (entry.lastRefusal ?? refusal(RefusalReason.NoTarget));
     entry.lastRefusal = refused;
--- a/packages/daemon/src/adapters/calls/handleHop.ts
+++ b/packages/daemon/src/adapters/calls/handleHop.ts
@@ -62,7 +62,7 @@
         headers: head.headers,
         traceparent: span.traceparent,
         body,
-        signal: cancel.signal,
+        control: cancel.control,
         onAdmitted() {
             response.writeProcessing();
             // Shows the entry daemon that the connection is not silent while the backend server works.
--- a/packages/daemon/src/adapters/calls/incoming.ts
+++ b/packages/daemon/src/adapters/calls/incoming.ts
@@ -84,14 +84,14 @@
     context: CallContext,
     response: ServerResponse,
     deadline: number,
-): { readonly signal: AbortSignal; close(): void } {
+): { readonly control: AbortController; close(): void } {
     const control = new AbortController();
     const timer = setTimeout(() => control.abort(deadlinePassed), Math.max(0, deadline - context.now()));
     const leave = () => control.abort(callerLeft);
     response.once("close", leave);
     context.cancels.add(control);
     return {
-        signal: control.signal,
+        control,
         close() {
             clearTimeout(timer);
             response.off("close", leave);
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -17,7 +17,7 @@
     readonly headers: readonly string[];
     readonly traceparent: string;
     readonly body: BodyAttempt;
-    readonly signal: AbortSignal;
+    readonly control: AbortController;
     /** The call is about to be written to a backend server. */
     readonly onAdmitted: () => void;
     readonly onHead: (status: number, rawHeaders: string[]) => ResponseSink;
@@ -31,7 +31,7 @@
     const { service, partner, share } = call.matched;
     const waitUntil = Math.min(call.deadline, context.now() + maxQueueMs);
     const waiting = { callId: call.attemptId, partner, share, deadline: waitUntil };
-    const admitted = await context.admissions.acquire(service, waiting, call.signal);
+    const admitted = await context.admissions.acquire(service, waiting, call.control);
     if (admitted.isLeft()) {
         return Left(admitted.extract() as Refusal);
     }
@@ -41,7 +41,7 @@
 
     function mayWrite(): boolean {
         const leftMs = remainingMs(call.deadline, context.now());
-        if (leftMs === 0 || call.signal.aborted) {
+        if (leftMs === 0 || call.control.signal.aborted) {
             refused = refusal(RefusalReason.DeadlinePassed);
             return false;
         }
@@ -65,7 +65,7 @@
             ...["traceparent", call.traceparent],
         ],
         body: call.body.chunks,
-        signal: AbortSignal.any([call.signal, slot.signal]),
+        signal: call.control.signal,
         headSilenceMs: 0,
         bodySilenceMs,
         mayWrite,
@@ -79,9 +79,9 @@
     }
     const neverConnected =
         result.end === ExchangeEnd.NeverWritten && refused.reason === RefusalReason.Unreachable;
-    slot.release({ reachable: call.signal.aborted || !neverConnected });
+    slot.release({ reachable: call.control.signal.aborted || !neverConnected });
     if (result.end === ExchangeEnd.NeverWritten) {
-        return Left(call.signal.aborted ? refusal(RefusalReason.DeadlinePassed) : refused);
+        return Left(call.control.signal.aborted ? refusal(RefusalReason.DeadlinePassed) : refused);
     }
     return Right(result);
 }
