test(calls): slow calls over hops and back-pressure from slow callers

Cause: nothing showed that a call outlives the silence limit of a hop, or that a response is not buffered.

--- a/packages/daemon/features/calls.feature
+++ b/packages/daemon/features/calls.feature
@@ -69,6 +69,16 @@
         When a caller leaves while its call is worked on
         Then the backend server sees the cancelled call within 2 s
 
+    Scenario: A call that takes longer than the silence limit of a hop is not given up
+        Given a call deployment of 2 hosts where the entry host has no backend server
+        When a "POST" call gets its answer after 3.6 s
+        Then the late answer arrives after 1 run
+
+    Scenario: A caller that reads slowly holds the backend server back
+        Given a call deployment of 2 hosts where the entry host has no backend server
+        When a caller stops reading a response of 128 MB
+        Then the backend server has written less than half of it
+
     Scenario: A deadline that passes cancels the call, and the caller hears that the outcome is unknown
         Given a call deployment of 2 hosts where the entry host has no backend server
         When a "POST" call with a deadline of 300 ms gets no answer
--- a/packages/daemon/features/steps/callBackend.ts
+++ b/packages/daemon/features/steps/callBackend.ts
@@ -1,5 +1,6 @@
 import { createHash } from "node:crypto";
 import { createServer, type IncomingMessage as Request, type Server, type ServerResponse } from "node:http";
+import { Readable } from "node:stream";
 import type { Socket } from "node:net";
 
 export interface Run {
@@ -70,12 +71,23 @@
     },
 };
 
+/** Well above what the socket buffers of three connections hold. */
+export const hugeAnswerBytes = 134_217_728;
+
 /** Behaviours of every run. */
 const always: Record<string, Behaviour> = {
     slow: (request, _socket, response) => {
         request.resume();
         setTimeout(() => response.end("slow answer"), 600);
     },
+    late: (request, _socket, response) => {
+        request.resume();
+        setTimeout(() => response.end("late answer"), 3_600);
+    },
+    huge: (_request, _socket, response) => {
+        const chunk = Buffer.alloc(65_536, "h");
+        Readable.from(Array.from({ length: hugeAnswerBytes / chunk.length }, () => chunk)).pipe(response);
+    },
     never: request => void request.resume(),
     large: (request, _socket, response) => {
         request.resume();
--- a/packages/daemon/features/steps/callRequests.ts
+++ b/packages/daemon/features/steps/callRequests.ts
@@ -5,6 +5,7 @@
 import { request as httpRequest } from "node:http";
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import { hugeAnswerBytes } from "./callBackend.js";
 import { call, sendRaw } from "./callClient.js";
 import type { TestHost } from "./callFixture.js";
 import { entryOf, hostOf, settleMs, type World } from "./callWorld.js";
@@ -138,6 +139,39 @@
     },
 );
 
+When("a {string} call gets its answer after 3.6 s", async function (this: World, method: string) {
+    this.received = await call(entryOf(this), { method, path: "/late" });
+});
+
+Then("the late answer arrives after {int} run", function (this: World, runs: number) {
+    assert.equal(this.received.body.toString(), "late answer");
+    assert.equal(this.deployment.ledger.length, runs);
+});
+
+When("a caller stops reading a response of 128 MB", async function (this: World) {
+    const { port } = entryOf(this).calls;
+    const headers = { "tanagertray-caller": "crews" };
+    const request = httpRequest({ host: "127.0.0.1", port, path: "/orders/huge", headers, agent: false });
+    request.on("error", () => undefined);
+    await new Promise<void>(resolve => {
+        request.on("response", response => {
+            response.on("error", () => undefined).pause();
+            resolve();
+        });
+        request.end();
+    });
+    const written = () => Math.max(...[...hostOf(this, 1).connections].map(socket => socket.bytesWritten));
+    for (let last = -1; last !== written(); await sleep(200)) {
+        last = written();
+    }
+    this.written = written();
+    request.destroy();
+});
+
+Then("the backend server has written less than half of it", function (this: World) {
+    assert.ok(this.written > 0 && this.written < hugeAnswerBytes / 2, `${this.written} bytes were written`);
+});
+
 const traceId = "0af7651916cd43dd8448eb211c80319c";
 
 When("a call with a trace context is made", async function (this: World) {
--- a/packages/daemon/features/steps/callWorld.ts
+++ b/packages/daemon/features/steps/callWorld.ts
@@ -14,6 +14,7 @@
     sentHash: string;
     received: Answered;
     late: Answered;
+    written: number;
     silent?: Server;
 }
 
