fix(calls): disagreements between daemons are not reported as the caller's fault

Cause: a refusal of a hop for a differing clock, key or configuration reached the caller as 403 or 404, and a reason of a later release had no status. Change: such reasons become noTarget (503, not run) at the entry daemon. Conclusion: the entry daemon alone judges the caller's request.

--- a/packages/core/features/callRules.feature
+++ b/packages/core/features/callRules.feature
@@ -17,5 +17,8 @@
         Given a fate table
         Then a full table neither starts nor bars a call, and expired entries make room
 
+    Scenario: A disagreement between daemons is not said to be the caller's fault
+        Then the relayed reason of unknown and disagreeing refusals is "noTarget" and others are kept
+
     Scenario: Each refusal has a status and a time to come back
         Then every refusal reason has a status of 4xx or 5xx and a positive time
--- a/packages/core/features/steps/callRules.ts
+++ b/packages/core/features/steps/callRules.ts
@@ -9,6 +9,7 @@
     noteCall,
     parseDeadlineMs,
     refusal,
+    relayedReason,
     RefusalReason,
     remainingMs,
     settleFate,
@@ -103,3 +104,15 @@
         assert.ok(refusal(reason).retryAfterMs > 0);
     }
 });
+
+Then(
+    "the relayed reason of unknown and disagreeing refusals is {string} and others are kept",
+    function (reason: string) {
+        const given = ["hopRejected", "noRoute", "notAllowed", "malformed", "barred", "toString", "later"];
+        assert.deepEqual(
+            given.map(relayedReason),
+            given.map(() => reason),
+        );
+        assert.deepEqual(["queueFull", "overShare"].map(relayedReason), ["queueFull", "overShare"]);
+    },
+);
--- a/packages/core/src/calls/refusal.ts
+++ b/packages/core/src/calls/refusal.ts
@@ -77,6 +77,26 @@
     return reason !== undefined && saturationReasons.has(reason);
 }
 
+/** Refusals that another daemon gives when its clock, keys or configuration differ from the entry daemon's. */
+const disagreements: ReadonlySet<string> = new Set([
+    RefusalReason.Malformed,
+    RefusalReason.NoRoute,
+    RefusalReason.NotAllowed,
+    RefusalReason.HopRejected,
+    RefusalReason.Barred,
+]);
+const knownReasons: ReadonlySet<string> = new Set(Object.values(RefusalReason));
+
+/**
+ * Reason of another daemon as the entry daemon passes it on. The entry daemon has checked the call
+ * itself, so a disagreement, or a reason that it does not know, only says that this host did not take it.
+ */
+export function relayedReason(text: string): RefusalReason {
+    return knownReasons.has(text) && !disagreements.has(text)
+        ? (text as RefusalReason)
+        : RefusalReason.NoTarget;
+}
+
 /** Refusals that every host would repeat, so that a retry elsewhere is useless. */
 const finalReasons: ReadonlySet<string> = new Set([
     RefusalReason.Malformed,
--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -9,6 +9,7 @@
     noteSuccess,
     refusal,
     RefusalReason,
+    relayedReason,
     remainingMs,
     saysSaturated,
     Tier,
@@ -147,7 +148,8 @@
     }
     if (refused !== undefined) {
         const { reason, retryAfterMs } = refused;
-        const known = refusal(reason as RefusalReason, retryAfterMs);
+        const known = refusal(relayedReason(reason), retryAfterMs);
+        context.telemetry.event("call.attemptRefused", "debug", { host: selection.target.host, reason });
         return { failure: AttemptFailure.Refused, refusal: known, fateKnown: true };
     }
     return ofResult(result, false);
