--- a/packages/core/src/blackboard.ts
+++ b/packages/core/src/blackboard.ts
@@ -57,18 +57,15 @@
     feeds: FeedCapacities<S>;
 }
 
-interface Observer {
-    readonly names: ReadonlySet<string>;
-    readonly listener: () => void;
+interface Listener {
+    /** Delivers what is due; runs at most once for any number of writes before it. */
+    readonly deliver: () => void;
     pending: boolean;
     open: boolean;
 }
 
-interface Follower {
-    readonly listener: (entry: unknown) => void;
+interface Follower extends Listener {
     readonly queue: unknown[];
-    pending: boolean;
-    open: boolean;
 }
 
 /**
@@ -95,7 +92,7 @@
     const values = new Map<string, unknown>(Object.entries(options.values));
     const capacities = new Map<string, number>(Object.entries(options.feeds));
     const claimed = new Set<string>();
-    const observers = new Map<string, Set<Observer>>();
+    const observers = new Map<string, Set<Listener>>();
     const followers = new Map<string, Set<Follower>>();
     const droppedEntries = new Map<string, number>();
     let open = true;
@@ -109,20 +106,7 @@
 
     function write(name: string, content: unknown): void {
         values.set(name, content);
-        observers.get(name)?.forEach(scheduleObserver);
-    }
-
-    function scheduleObserver(observer: Observer): void {
-        if (observer.pending) {
-            return;
-        }
-        observer.pending = true;
-        queueMicrotask(() => {
-            observer.pending = false;
-            if (open && observer.open) {
-                observer.listener();
-            }
-        });
+        observers.get(name)?.forEach(schedule);
     }
 
     function append(name: string, entry: unknown): void {
@@ -133,25 +117,7 @@
                 follower.queue.shift();
                 droppedEntries.set(name, (droppedEntries.get(name) ?? 0) + 1);
             }
-            scheduleFollower(follower);
-        }
-    }
-
-    function scheduleFollower(follower: Follower): void {
-        if (follower.pending) {
-            return;
-        }
-        follower.pending = true;
-        queueMicrotask(() => drain(follower));
-    }
-
-    function drain(follower: Follower): void {
-        follower.pending = false;
-        const entries = follower.queue.splice(0);
-        for (const entry of entries) {
-            if (open && follower.open) {
-                follower.listener(entry);
-            }
+            schedule(follower);
         }
     }
 
@@ -169,39 +135,74 @@
             return { append: entry => append(name, entry) };
         },
         observe(names, listener) {
-            const observer: Observer = { names: new Set(names), listener, pending: false, open: true };
-            names.forEach(name => addTo(observers, name, observer));
-            return {
-                close() {
-                    observer.open = false;
-                    names.forEach(name => observers.get(name)?.delete(observer));
-                },
-            };
+            const observer: Listener = { deliver: listener, pending: false, open };
+            return listen(observers, names, observer);
         },
         follow(name, listener) {
-            const follower: Follower = {
-                listener: listener as (entry: unknown) => void,
-                queue: [],
-                pending: false,
-                open: true,
-            };
-            addTo(followers, name, follower);
-            return {
-                close() {
-                    follower.open = false;
-                    followers.get(name)?.delete(follower);
-                },
-            };
+            return listen(followers, [name], createFollower(listener as (entry: unknown) => void, open));
         },
         dropped: () => droppedEntries,
         close() {
             open = false;
-            observers.clear();
-            followers.clear();
+            closeAll(observers);
+            closeAll(followers);
         },
     };
 }
 
+function createFollower(listener: (entry: unknown) => void, open: boolean): Follower {
+    const queue: unknown[] = [];
+    const follower: Follower = {
+        queue,
+        pending: false,
+        open,
+        deliver() {
+            for (const entry of queue.splice(0)) {
+                if (follower.open) {
+                    listener(entry);
+                }
+            }
+        },
+    };
+    return follower;
+}
+
+function schedule(listener: Listener): void {
+    if (listener.pending) {
+        return;
+    }
+    listener.pending = true;
+    queueMicrotask(() => {
+        listener.pending = false;
+        if (listener.open) {
+            listener.deliver();
+        }
+    });
+}
+
+function listen<T extends Listener>(
+    sets: Map<string, Set<T>>,
+    names: readonly string[],
+    listener: T,
+): Subscription {
+    names.forEach(name => addTo(sets, name, listener));
+    return {
+        close() {
+            listener.open = false;
+            names.forEach(name => sets.get(name)?.delete(listener));
+        },
+    };
+}
+
+function closeAll<T extends Listener>(sets: Map<string, Set<T>>): void {
+    for (const listeners of sets.values()) {
+        listeners.forEach(listener => {
+            listener.open = false;
+        });
+    }
+    sets.clear();
+}
+
 function addTo<T>(sets: Map<string, Set<T>>, name: string, item: T): void {
     const set = sets.get(name) ?? new Set<T>();
     set.add(item);
