feat(standin): backend server, relay, load caller and ledger comparison

Cause: demo and tests need backend servers with faults, connections that turn silent, and counts that do not come from the daemons.

Change: backendServer.ts with slots, cold start, drain, deadlines, shedding and a run ledger; relay.ts that cuts, silences and delays; loadCaller.ts with its own ledger; compareLedgers with one rule for each figure.

--- /dev/null
+++ b/packages/standin/src/backendServer.ts
@@ -0,0 +1,152 @@
+import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { createAnnouncer } from "./backend/announcer.js";
+import {
+    createBackendBoard,
+    ReportedHealth,
+    reportedLoadOf,
+    stateOf,
+    type BackendBoard,
+    type BackendCounters,
+    type BackendFaults,
+} from "./backend/board.js";
+import { serveCall, type BackendParts } from "./backend/calls.js";
+import { createFaultControl } from "./backend/control.js";
+import { createCounters } from "./backend/counters.js";
+import { createRunRecorder } from "./backend/runLedger.js";
+import { closeServer, listen, readJson, sendJson } from "./http/messages.js";
+import type { RunLedger } from "./ledger.js";
+
+export { ReportedHealth, type BackendCounters, type BackendFaults } from "./backend/board.js";
+
+export interface BackendServerOptions {
+    id: string;
+    service: string;
+    /** @default 0, a free port */
+    port?: number;
+    /** @default 20 */
+    slots?: number;
+    /** @default 130 */
+    connections?: number;
+    /**
+     * Time after the start in milliseconds during which calls are slower.
+     * @default 0
+     */
+    coldStartMs?: number;
+    faults?: Partial<BackendFaults>;
+    /** Daemon to announce to; without it the backend server stays unannounced. */
+    daemon?: { url: string; token: string };
+}
+
+export interface StandInBackendServer {
+    /** `address:port` */
+    readonly address: string;
+    readonly url: string;
+    setFaults(faults: Partial<BackendFaults>): void;
+    counters(): BackendCounters;
+    ledger(): RunLedger;
+    /** Announces `draining`, refuses new calls and waits for those in flight. */
+    drain(timeoutMs: number): Promise<boolean>;
+    close(): Promise<void>;
+}
+
+type Handler = (
+    request: IncomingMessage,
+    response: ServerResponse,
+    parts: BackendParts,
+) => Promise<void> | void;
+
+/** Paths of the stand-in itself; every other path is a call. */
+const handlers: Readonly<Record<string, Handler>> = {
+    "GET /ledger": (_request, response, { board }) => sendJson(response, 200, describeLedger(board)),
+    "GET /control": (_request, response, { board }) => sendControl(response, board),
+    "PUT /control": async (request, response, { board, control }) => {
+        control.change((await readJson(request)) as Partial<BackendFaults>);
+        sendControl(response, board);
+    },
+    "GET /health": (_request, response, { board }) => {
+        const healthy = healthReports[board.read("faults").health](board);
+        sendJson(response, healthy ? 200 : 503, { healthy, load: reportedLoadOf(board) });
+    },
+};
+
+const healthReports = {
+    [ReportedHealth.Honest]: (board: BackendBoard) =>
+        !board.read("faults").broken && !board.read("faults").draining,
+    [ReportedHealth.AlwaysHealthy]: () => true,
+    [ReportedHealth.AlwaysUnhealthy]: () => false,
+} satisfies Record<ReportedHealth, (board: BackendBoard) => boolean>;
+
+/** Interval at which `drain` looks for calls in flight. */
+const drainCheckMs = 20;
+
+/**
+ * Starts a stand-in backend server.
+ *
+ * @example
+ * ```ts
+ * const server = await startBackendServer({ id: "s1", service: "stock", slots: 12 });
+ * server.setFaults({ shed: true });
+ * await server.close();
+ * ```
+ */
+export async function startBackendServer(options: BackendServerOptions): Promise<StandInBackendServer> {
+    const { id, service, slots = 20, connections = 130, coldStartMs = 0 } = options;
+    const identity = { id, service, slots, connections, coldStartMs, startedAt: Date.now() };
+    const board = createBackendBoard(identity, options.faults ?? {});
+    const counters = createCounters(board);
+    const control = createFaultControl(board);
+    const parts: BackendParts = { board, counters, control, recorder: createRunRecorder(board) };
+    const server = createServer((request, response) => {
+        const handler = handlers[`${request.method} ${request.url}`] ?? serveCall;
+        Promise.resolve(handler(request, response, parts)).catch(() => response.destroy());
+    });
+    server.maxConnections = connections;
+    server.on("connection", socket => {
+        counters.add("connections");
+        socket.once("close", () => counters.add("connections", -1));
+    });
+    const { address, url } = await listen(server, options.port);
+    const announcer =
+        options.daemon === undefined
+            ? undefined
+            : createAnnouncer(board, counters, {
+                  daemon: options.daemon.url,
+                  token: options.daemon.token,
+                  address,
+              });
+    return {
+        address,
+        url,
+        setFaults: control.change,
+        counters: () => board.read("counters"),
+        ledger: () => describeLedger(board),
+        async drain(timeoutMs) {
+            control.change({ draining: true });
+            const end = Date.now() + timeoutMs;
+            while (board.read("counters").inFlight > 0 && Date.now() < end) {
+                await sleep(drainCheckMs);
+            }
+            return board.read("counters").inFlight === 0;
+        },
+        async close() {
+            await announcer?.close();
+            await closeServer(server);
+            board.close();
+        },
+    };
+}
+
+function describeLedger(board: BackendBoard): RunLedger {
+    const { entries, dropped } = board.read("runs");
+    const { id, service } = board.read("identity");
+    return { backendServer: id, service, runs: entries, dropped };
+}
+
+function sendControl(response: ServerResponse, board: BackendBoard): void {
+    sendJson(response, 200, {
+        state: stateOf(board),
+        faults: board.read("faults"),
+        counters: board.read("counters"),
+    });
+}
--- /dev/null
+++ b/packages/standin/src/headers.ts
@@ -0,0 +1,15 @@
+/** Header names that the stand-ins share with the daemons and with each other. */
+export const Header = {
+    Caller: "tanagertray-caller",
+    DeadlineMs: "tanagertray-deadline-ms",
+    Outcome: "tanagertray-outcome",
+    Reason: "tanagertray-reason",
+    Load: "tanagertray-load",
+    LedgerId: "x-ledger-id",
+} as const;
+
+/** Query parameter with the ledger id, for a proxy that does not pass on unknown request headers. */
+export const ledgerIdParameter = "ledger-id";
+
+/** Values of the outcome header. */
+export const OutcomeHeader = { NotRun: "not-run", Unknown: "unknown" } as const;
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -1,2 +1,7 @@
 /** Public entry of the stand-ins used by the demo, the tests and the benchmarks. */
 export * from "./platform.js";
+export * from "./backendServer.js";
+export * from "./relay.js";
+export * from "./ledger.js";
+export * from "./loadCaller.js";
+export * from "./headers.js";
