feat(demo): run an example deployment as separate processes

Cause: the demo ran one daemon on fixed ports and left its counts to the reader.

Change: 12 daemons and 12 backend servers as processes on free ports, answers submitted and accepted with the tanagertray command, a second version, a drain and a restart of a daemon under calls. Relays count the bytes between daemons and the platform. Trailing commas are not written to .jsonc files, because a strict parser refuses them.

--- a/packages/standin/src/relay/direction.ts
+++ b/packages/standin/src/relay/direction.ts
@@ -4,7 +4,7 @@
 const maxHeldChunks = 128;
 
 interface Held {
-    /** Milliseconds since the epoch. */
+    /** Milliseconds by the monotonic clock, which no change of the system time moves. */
     readonly due: number;
     readonly act: () => void;
 }
@@ -30,18 +30,18 @@
 
     function hold(act: () => void): void {
         // A shorter delay that is set later must not let a chunk overtake an earlier one.
-        const due = Math.max(held.at(-1)?.due ?? 0, Date.now() + delayMs());
+        const due = Math.max(held.at(-1)?.due ?? 0, performance.now() + delayMs());
         held.push({ due, act });
         passDue();
     }
 
     function passDue(): void {
         clearTimeout(timer);
-        while (!silent && held[0] !== undefined && held[0].due <= Date.now()) {
+        while (!silent && held[0] !== undefined && held[0].due <= performance.now()) {
             held.shift()?.act();
         }
         if (!silent && held[0] !== undefined) {
-            timer = setTimeout(passDue, held[0].due - Date.now());
+            timer = setTimeout(passDue, held[0].due - performance.now());
         }
         const reads = !silent && !blocked && held.length < maxHeldChunks;
         from[reads ? "resume" : "pause"]();
--- /dev/null
+++ b/scripts/demo/fleet.ts
@@ -0,0 +1,120 @@
+import { startPlatform, type Platform } from "@tanagertray/standin";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { DemoBoard, DemoHost } from "./board.js";
+import type { ControlByteMeter } from "./controlBytes.js";
+import type { PlannedHost } from "./deployment.js";
+import { keys } from "./keys.js";
+import { findFreeAddresses } from "./ports.js";
+import type { Processes } from "./processes.js";
+import { isReady, readAdmin } from "./status.js";
+import { waitUntil } from "./waiting.js";
+
+const startTimeoutMs = 10_000;
+/** Addresses of other hosts that each daemon gets for its first links. */
+const firstLinks = 3;
+
+export interface Fleet {
+    start(signal: AbortSignal): Promise<void>;
+    restartDaemon(host: DemoHost, signal: AbortSignal): Promise<boolean>;
+    close(): Promise<void>;
+}
+
+/** Runs the platform, the daemons and the backend servers. Writes the `hosts` section. */
+export function createFleet(board: DemoBoard, processes: Processes, meter: ControlByteMeter): Fleet {
+    const section = board.claimValue("hosts");
+    const folder = mkdtempSync(join(tmpdir(), "tanagertray-"));
+    let platform: Platform | undefined;
+
+    async function placeHosts(planned: readonly PlannedHost[]): Promise<readonly DemoHost[]> {
+        const addresses = await findFreeAddresses(planned.length * 3);
+        return planned.map((host, index) => ({
+            ...host,
+            calls: addresses[3 * index] as string,
+            peer: addresses[3 * index + 1] as string,
+            admin: addresses[3 * index + 2] as string,
+            settingsFile: join(folder, `${host.host}.jsonc`),
+            backendServer: "",
+        }));
+    }
+
+    async function writeSettings(hosts: readonly DemoHost[], index: number): Promise<void> {
+        const { host, failureDomain, region, calls, peer, admin, settingsFile } = hosts[index] as DemoHost;
+        const url = await meter.addHost(platform?.port ?? 0);
+        const others = [...hosts.slice(index + 1), ...hosts.slice(0, index)];
+        const settings = {
+            ...board.read("deployment").settings,
+            host,
+            failureDomain,
+            region,
+            listen: { calls, peer, admin },
+            platform: { url },
+            peers: others.slice(0, firstLinks).map(other => other.peer),
+            keys: { operator: [keys.operator], backendServer: [keys.backendServer], peer: [keys.peer] },
+            log: { level: "error" },
+        };
+        writeFileSync(settingsFile, JSON.stringify(settings), { mode: 0o600 });
+    }
+
+    function startDaemon(host: DemoHost): void {
+        const { child } = processes.start(daemonName(host), [
+            "packages/daemon/dist/main.js",
+            "--settings",
+            host.settingsFile,
+        ]);
+        child.stdout?.resume();
+    }
+
+    async function startBackend(host: DemoHost): Promise<DemoHost> {
+        const { slots, connections } = board.read("deployment").services[host.service] ?? {};
+        const args = {
+            id: `${host.service}-${host.host}`,
+            service: host.service,
+            daemon: `http://${host.admin}`,
+            slots: String(slots),
+            connections: String(connections),
+        };
+        const { firstLine } = processes.start(
+            `backend server ${host.host}`,
+            [
+                "packages/standin/dist/backendServerMain.js",
+                ...Object.entries(args).flatMap(([name, value]) => [`--${name}`, value]),
+            ],
+            { TANAGERTRAY_BACKEND_TOKEN: keys.backendServer },
+        );
+        const { url } = JSON.parse(await firstLine) as { url: string };
+        return { ...host, backendServer: url };
+    }
+
+    return {
+        async start(signal) {
+            platform = await startPlatform();
+            const hosts = await placeHosts(board.read("deployment").hosts);
+            await Promise.all(hosts.map((_host, index) => writeSettings(hosts, index)));
+            signal.throwIfAborted();
+            hosts.forEach(startDaemon);
+            section.write(hosts);
+            await waitUntil("every daemon answers /healthz", startTimeoutMs, signal, async () => {
+                const answers = await Promise.all(hosts.map(host => readAdmin(host, "/healthz")));
+                return !answers.includes(undefined);
+            });
+            section.write(await Promise.all(hosts.map(startBackend)));
+        },
+        async restartDaemon(host, signal) {
+            const graceful = await processes.stop(daemonName(host));
+            signal.throwIfAborted();
+            startDaemon(host);
+            await waitUntil(`${host.host} is ready again`, startTimeoutMs, signal, () => isReady(host));
+            return graceful;
+        },
+        async close() {
+            await platform?.close();
+            rmSync(folder, { recursive: true, force: true });
+        },
+    };
+}
+
+function daemonName(host: DemoHost): string {
+    return `daemon ${host.host}`;
+}
--- /dev/null
+++ b/scripts/demo/keys.ts
@@ -0,0 +1,6 @@
+import { randomBytes } from "node:crypto";
+
+const newKey = () => randomBytes(24).toString("hex");
+
+/** Keys and tokens of one run of the demo. */
+export const keys = { operator: newKey(), backendServer: newKey(), peer: newKey() } as const;
--- /dev/null
+++ b/scripts/demo/rollout.ts
@@ -0,0 +1,42 @@
+import type { DemoBoard, DemoHost } from "./board.js";
+import { runTanagertray } from "./operator.js";
+import { countHostsOn, isReady } from "./status.js";
+import { waitUntil } from "./waiting.js";
+
+const convergenceTimeoutMs = 12_000;
+
+export interface RolloutOperator {
+    /** Submits and accepts answers, and waits until every host reports the new version. */
+    roll(answersFile: string, signal: AbortSignal): Promise<void>;
+}
+
+/** Writes the `rollout` section. */
+export function createRolloutOperator(board: DemoBoard): RolloutOperator {
+    const section = board.claimValue("rollout");
+    return {
+        async roll(answersFile, signal) {
+            const hosts = board.read("hosts");
+            const { admin } = hosts[0] as DemoHost;
+            const submitted = await runTanagertray(["answers", "submit", answersFile], admin, signal);
+            const revision = String(readNumber(submitted.output, ["number", "revision"]));
+            const accepted = await runTanagertray(["accept", revision], admin, signal);
+            const version = readNumber(accepted.output, ["version"]);
+            const isInForce = async () => (await countHostsOn(hosts, version)) === hosts.length;
+            await waitUntil(`every host holds version ${version}`, convergenceTimeoutMs, signal, isInForce);
+            section.write({ version, convergenceMs: Math.round(performance.now() - accepted.confirmedAt) });
+            await waitUntil("every host is ready", convergenceTimeoutMs, signal, async () =>
+                (await Promise.all(hosts.map(isReady))).every(Boolean),
+            );
+        },
+    };
+}
+
+/** Reads the first of the named numbers in the JSON output of a command. */
+function readNumber(output: string, names: readonly string[]): number {
+    const document = JSON.parse(output) as Record<string, unknown>;
+    const found = names.map(name => document[name]).find(content => typeof content === "number");
+    if (found === undefined) {
+        throw new Error(`the output has no number "${names.join('" or "')}": ${output.trim()}`);
+    }
+    return found as number;
+}
--- /dev/null
+++ b/scripts/demo/run.ts
@@ -0,0 +1,109 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { createDemoBoard, type DemoBoard, type DemoHost } from "./board.js";
+import { createControlByteMeter, type ControlByteMeter } from "./controlBytes.js";
+import type { Deployment } from "./deployment.js";
+import { createFleet, type Fleet } from "./fleet.js";
+import { createProcesses } from "./processes.js";
+import { createReport, describeTroubles, type Report } from "./report.js";
+import { createRolloutOperator, type RolloutOperator } from "./rollout.js";
+import { createTraffic, type Traffic } from "./traffic.js";
+
+/** Time of calls before, between and after the changes, in milliseconds. */
+const quietMs = 1_500;
+
+interface Parts {
+    readonly board: DemoBoard;
+    readonly fleet: Fleet;
+    readonly meter: ControlByteMeter;
+    readonly operator: RolloutOperator;
+    readonly traffic: Traffic;
+}
+
+const Step = {
+    StartHosts: "startHosts",
+    FirstVersion: "firstVersion",
+    StartCalls: "startCalls",
+    SecondVersion: "secondVersion",
+    DrainBackendServer: "drainBackendServer",
+    RestartDaemon: "restartDaemon",
+    StopCalls: "stopCalls",
+} as const;
+type Step = (typeof Step)[keyof typeof Step];
+
+/** Carries out a step and describes what happened. */
+type StepHandler = (parts: Parts, signal: AbortSignal) => Promise<string>;
+
+const steps = {
+    [Step.StartHosts]: async ({ board, fleet }, signal) => {
+        await fleet.start(signal);
+        return `${board.read("hosts").length} daemons and their backend servers run`;
+    },
+    [Step.FirstVersion]: async ({ board, operator }, signal) => {
+        await operator.roll(board.read("deployment").answersFile, signal);
+        return `version ${board.read("rollout").version} is in force on every host`;
+    },
+    [Step.StartCalls]: async ({ traffic }, signal) => {
+        traffic.start();
+        await sleep(quietMs, undefined, { signal });
+        return "calls of every service are under way";
+    },
+    [Step.SecondVersion]: async ({ board, operator }, signal) => {
+        await operator.roll(board.read("deployment").secondAnswersFile, signal);
+        const { version, convergenceMs } = board.read("rollout");
+        return `version ${version} is in force on every host ${convergenceMs} ms after the accept`;
+    },
+    [Step.DrainBackendServer]: async ({ board, traffic }, signal) => {
+        const host = board.read("hosts").at(-1) as DemoHost;
+        await traffic.drain(host, signal);
+        await sleep(quietMs, undefined, { signal });
+        return `the backend server of ${host.host} has drained`;
+    },
+    [Step.RestartDaemon]: async ({ board, fleet }, signal) => {
+        const host = board.read("hosts")[1] as DemoHost;
+        const graceful = await fleet.restartDaemon(host, signal);
+        await sleep(quietMs, undefined, { signal });
+        const ending = graceful ? "ended by itself after SIGTERM" : "had to be killed";
+        return `the daemon of ${host.host} ${ending} and is ready again`;
+    },
+    [Step.StopCalls]: async ({ board, meter, traffic }) => {
+        await traffic.finish();
+        await meter.measure();
+        const { peer } = board.read("controlBytes");
+        const source = peer === undefined ? "not reported by the daemons" : "read from /metrics";
+        return (
+            "control bytes: platform requests counted by relays, " +
+            `links between daemons ${source}; calls not completed: ${describeTroubles(board)}`
+        );
+    },
+} satisfies Record<Step, StepHandler>;
+
+/** Runs every step and ends everything that was started, whatever happens. */
+export async function runDemo(
+    deployment: Deployment,
+    signal: AbortSignal,
+    print: (line: string) => void,
+): Promise<Report> {
+    const board = createDemoBoard(deployment);
+    const progress = board.claimFeed("progress");
+    board.follow("progress", print);
+    const processes = createProcesses(board);
+    const meter = createControlByteMeter(board);
+    const fleet = createFleet(board, processes, meter);
+    const traffic = createTraffic(board);
+    const parts: Parts = { board, fleet, meter, traffic, operator: createRolloutOperator(board) };
+    const startedAt = performance.now();
+    try {
+        for (const step of Object.values(Step)) {
+            signal.throwIfAborted();
+            const message = await steps[step](parts, signal);
+            progress.append(`${((performance.now() - startedAt) / 1_000).toFixed(1)} s  ${message}`);
+        }
+        return await createReport(board);
+    } finally {
+        await traffic.close();
+        await processes.stopAll();
+        await meter.close();
+        await fleet.close();
+        board.close();
+    }
+}
