feat(core): checks of answers and settings that list every mistake at once

Cause: answers and settings were used unchecked, so a misspelt key went unnoticed until a call failed. Conclusion: both files are refused as a whole before anything depends on them.

--- /dev/null
+++ b/packages/core/src/answers/answersRule.ts
@@ -0,0 +1,74 @@
+import { RuleKind, type Rule } from "../checking/rule.js";
+import {
+    maxCallers,
+    maxColdStartMs,
+    maxConnections,
+    maxDeadlineMs,
+    maxDrainSeconds,
+    maxOperationBodyBytes,
+    maxOperations,
+    maxPartners,
+    maxServices,
+    maxShare,
+    maxSlots,
+    minShare,
+} from "./constants.js";
+
+const httpMethods = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
+
+const name: Rule = { kind: RuleKind.Name };
+
+function whole(min: number, max: number, unit: string): Rule {
+    return { kind: RuleKind.Number, min, max, integer: true, unit };
+}
+
+const operation: Rule = {
+    kind: RuleKind.Group,
+    required: {
+        name,
+        method: { kind: RuleKind.Choice, values: httpMethods },
+        path: { kind: RuleKind.Path, pattern: true },
+        repeatable: { kind: RuleKind.Flag },
+    },
+    optional: {
+        deadlineMs: whole(1, maxDeadlineMs, "milliseconds"),
+        maxBodyBytes: whole(0, maxOperationBodyBytes, "bytes"),
+    },
+};
+
+const service: Rule = {
+    kind: RuleKind.Group,
+    required: {
+        slots: whole(1, maxSlots, "slots"),
+        connections: whole(1, maxConnections, "connections"),
+        operations: { kind: RuleKind.List, item: operation, min: 1, max: maxOperations, unique: false },
+    },
+    optional: {
+        drainSeconds: whole(0, maxDrainSeconds, "seconds"),
+        coldStartMs: whole(0, maxColdStartMs, "milliseconds"),
+        healthPath: { kind: RuleKind.Path, pattern: false },
+    },
+};
+
+const partner: Rule = {
+    kind: RuleKind.Group,
+    required: {},
+    optional: { share: { kind: RuleKind.Number, min: minShare, max: maxShare, integer: false, unit: "" } },
+};
+
+const caller: Rule = {
+    kind: RuleKind.Group,
+    required: { mayCall: { kind: RuleKind.List, item: name, min: 1, max: maxServices, unique: true } },
+    optional: { partner: name, service: name },
+};
+
+/** What a filled-in questionnaire may contain, apart from its references. */
+export const answersRule: Rule = {
+    kind: RuleKind.Group,
+    required: {
+        deployment: name,
+        services: { kind: RuleKind.Map, value: service, min: 1, max: maxServices },
+        callers: { kind: RuleKind.Map, value: caller, min: 0, max: maxCallers },
+    },
+    optional: { partners: { kind: RuleKind.Map, value: partner, min: 0, max: maxPartners } },
+};
--- /dev/null
+++ b/packages/core/src/answers/constants.ts
@@ -0,0 +1,15 @@
+/** Limits of the questionnaire. */
+
+export const maxServices = 10_000;
+export const maxCallers = 10_000;
+export const maxPartners = 1_000;
+export const maxOperations = 256;
+export const maxSlots = 100_000;
+export const maxConnections = 1_000_000;
+export const maxDrainSeconds = 3_600;
+export const maxColdStartMs = 3_600_000;
+export const maxDeadlineMs = 3_600_000;
+/** 64 GiB, for uploads of surveys and plans. */
+export const maxOperationBodyBytes = 68_719_476_736;
+export const minShare = 0.01;
+export const maxShare = 1_000;
--- /dev/null
+++ b/packages/daemon/features/steps/validSettings.ts
@@ -0,0 +1,25 @@
+import type { Settings } from "@tanagertray/daemon";
+
+/** Settings without a mistake; port 0 is not valid in a file, so each test gives its own ports. */
+export function validSettings(
+    ports: { calls: number; peer: number; admin: number } = defaultPorts,
+): Settings {
+    return {
+        host: "h1",
+        failureDomain: "d1",
+        region: "r1",
+        listen: {
+            calls: `127.0.0.1:${ports.calls}`,
+            peer: `127.0.0.1:${ports.peer}`,
+            admin: `127.0.0.1:${ports.admin}`,
+        },
+        platform: { url: "http://127.0.0.1:9" },
+        keys: {
+            operator: ["operator-token-0001", "operator-token-0002"],
+            backendServer: ["backend-token-0001"],
+            peer: ["peer-key-00000001"],
+        },
+    };
+}
+
+const defaultPorts = { calls: 8_080, peer: 8_081, admin: 8_082 };
--- a/packages/daemon/src/adapters/httpListener.ts
+++ b/packages/daemon/src/adapters/httpListener.ts
@@ -27,10 +27,18 @@
     return server;
 }
 
-/** Stops accepting connections and closes the idle ones. */
+/** Period at which a closing listener closes connections that have become idle, in milliseconds. */
+const closeIdlePeriodMs = 100;
+
+/** Stops accepting connections, closes the idle ones and waits for the requests in flight. */
 export function closeListener(server: Server): Promise<void> {
     return new Promise(resolve => {
-        server.close(() => resolve());
+        // A kept-alive connection would otherwise hold the server open after its last response.
+        const timer = setInterval(() => server.closeIdleConnections(), closeIdlePeriodMs);
+        server.close(() => {
+            clearInterval(timer);
+            resolve();
+        });
         server.closeIdleConnections();
     });
 }
--- /dev/null
+++ b/packages/daemon/src/commandLine.ts
@@ -0,0 +1,86 @@
+import { formatMistake, type Problem } from "@tanagertray/core";
+import { readFileSync } from "node:fs";
+import { parseArgs } from "node:util";
+import { readSettings } from "./settings/checkSettings.js";
+import { resolveSettings } from "./settings/resolveSettings.js";
+import type { ResolvedSettings } from "./settings/settings.js";
+
+export const ExitCode = { Done: 0, Failed: 1, Usage: 2 } as const;
+export type ExitCode = (typeof ExitCode)[keyof typeof ExitCode];
+
+/** What the command line asks for: a run with settings, or a text and an exit code. */
+export type Request =
+    | { readonly run: true; readonly settings: ResolvedSettings }
+    | { readonly run: false; readonly code: ExitCode; readonly output: string };
+
+export const usage = `Usage: tanagertrayd --settings FILE [--check]
+
+  --settings FILE  settings of this host, JSON with comments
+  --check          check the settings and exit
+  --help           show this text
+  --version        show the version
+
+Exit codes: 0 done or stopped, 1 failed, 2 mistakes in the command line or the settings.
+`;
+
+/** Reads the command line and the settings file. */
+export function readCommandLine(args: readonly string[]): Request {
+    const options = parseOptions(args);
+    if (typeof options === "string") {
+        return { run: false, code: ExitCode.Usage, output: `${options}\n\n${usage}` };
+    }
+    if (options.help === true) {
+        return { run: false, code: ExitCode.Done, output: usage };
+    }
+    if (options.version === true) {
+        return { run: false, code: ExitCode.Done, output: `tanagertrayd ${readVersion()}\n` };
+    }
+    if (options.settings === undefined) {
+        return { run: false, code: ExitCode.Usage, output: `--settings is missing\n\n${usage}` };
+    }
+    return readSettingsFile(options.settings, options.check === true);
+}
+
+function parseOptions(args: readonly string[]) {
+    try {
+        const { values } = parseArgs({
+            args: [...args],
+            options: {
+                settings: { type: "string" },
+                check: { type: "boolean" },
+                help: { type: "boolean", short: "h" },
+                version: { type: "boolean", short: "v" },
+            },
+        });
+        return values;
+    } catch (error) {
+        return (error as Error).message;
+    }
+}
+
+function readSettingsFile(file: string, check: boolean): Request {
+    let text: string;
+    try {
+        text = readFileSync(file, "utf8");
+    } catch (error) {
+        const output = `the settings file cannot be read: ${(error as Error).message}\n`;
+        return { run: false, code: ExitCode.Usage, output };
+    }
+    return readSettings(text).caseOf<Request>({
+        Left: refuse,
+        Right: settings =>
+            check
+                ? { run: false, code: ExitCode.Done, output: "the settings have no mistakes\n" }
+                : { run: true, settings: resolveSettings(settings) },
+    });
+}
+
+function refuse(mistakes: readonly Problem[]): Request {
+    const output = mistakes.map(mistake => `${formatMistake(mistake)}\n`).join("");
+    return { run: false, code: ExitCode.Usage, output };
+}
+
+function readVersion(): string {
+    const text = readFileSync(new URL("../package.json", import.meta.url), "utf8");
+    return (JSON.parse(text) as { version: string }).version;
+}
--- /dev/null
+++ b/packages/daemon/src/draining.ts
@@ -0,0 +1,24 @@
+import { defaultDrainSeconds, ResourceKind, type Service } from "@tanagertray/core";
+import type { Board } from "./board.js";
+
+/** Time beyond the drain limit for the listeners to close, in milliseconds. */
+const closeMarginMs = 1_000;
+
+/** Longest drain time of the services that the held configuration knows, in milliseconds. */
+export function drainLimitMs(board: Board): number {
+    const resources = [...(board.read("configuration").held?.resources.values() ?? [])];
+    const limits = resources
+        .filter((resource): resource is Service => resource.kind === ResourceKind.Service)
+        .map(service => service.drainMs);
+    return limits.length === 0 ? defaultDrainSeconds * 1_000 : Math.max(...limits);
+}
+
+/** Waits until the listeners have closed, which they do when their calls are done, or the limit has passed. */
+export async function waitForCalls(board: Board, closed: Promise<void>): Promise<void> {
+    let timer: NodeJS.Timeout | undefined;
+    const limit = new Promise<void>(resolve => {
+        timer = setTimeout(resolve, drainLimitMs(board) + closeMarginMs);
+    });
+    await Promise.race([closed, limit]);
+    clearTimeout(timer);
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -4,3 +4,4 @@
 export * from "./start.js";
 export * from "./settings/settings.js";
 export * from "./settings/resolveSettings.js";
+export * from "./settings/checkSettings.js";
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,12 +1,11 @@
 #!/usr/bin/env node
-import { parse } from "jsonc-parser";
-import { readFileSync } from "node:fs";
-import { parseArgs } from "node:util";
-import { resolveSettings } from "./settings/resolveSettings.js";
-import type { Settings } from "./settings/settings.js";
-import { startDaemon } from "./start.js";
+import { ExitCode, readCommandLine } from "./commandLine.js";
+import { runDaemon } from "./runDaemon.js";
 
-const { values } = parseArgs({ options: { settings: { type: "string" }, check: { type: "boolean" } } });
-const settings = resolveSettings(parse(readFileSync(values.settings ?? "", "utf8")) as Settings);
-const daemon = await startDaemon(settings);
-process.once("SIGTERM", () => void daemon.close().then(() => process.exit(0)));
+const request = readCommandLine(process.argv.slice(2));
+if (request.run) {
+    await runDaemon(request.settings);
+} else {
+    (request.code === ExitCode.Done ? process.stdout : process.stderr).write(request.output);
+    process.exitCode = request.code;
+}
--- /dev/null
+++ b/packages/daemon/src/settings/checkSettings.ts
@@ -0,0 +1,117 @@
+import {
+    checkValue,
+    createMistakes,
+    describeValue,
+    isGroup,
+    parseText,
+    ProblemCode,
+    RuleKind,
+    type Mistakes,
+    type Problem,
+    type Rule,
+} from "@tanagertray/core";
+import { Left, Right, type Either } from "purify-ts/Either";
+import { maxHostNameLength, maxPeers, maxSecretLength, maxSecrets, minSecretLength } from "./constants.js";
+import { Spread, TraceExporter, type Settings } from "./settings.js";
+
+export const LogLevel = { Debug: "debug", Info: "info", Warn: "warn", Error: "error" } as const;
+export type LogLevel = (typeof LogLevel)[keyof typeof LogLevel];
+
+const label: Rule = { kind: RuleKind.Text, min: 1, max: maxHostNameLength };
+const endpoint: Rule = { kind: RuleKind.Endpoint };
+const url: Rule = { kind: RuleKind.Url };
+const secret: Rule = { kind: RuleKind.Secret, min: minSecretLength, max: maxSecretLength };
+const secrets: Rule = { kind: RuleKind.List, item: secret, min: 1, max: maxSecrets, unique: true };
+
+const settingsRule: Rule = {
+    kind: RuleKind.Group,
+    required: {
+        host: label,
+        failureDomain: label,
+        region: label,
+        listen: {
+            kind: RuleKind.Group,
+            required: { calls: endpoint, peer: endpoint, admin: endpoint },
+            optional: {},
+        },
+        platform: { kind: RuleKind.Group, required: { url }, optional: {} },
+        keys: {
+            kind: RuleKind.Group,
+            required: { operator: secrets, backendServer: secrets, peer: secrets },
+            optional: {},
+        },
+    },
+    optional: {
+        peers: { kind: RuleKind.List, item: endpoint, min: 0, max: maxPeers, unique: true },
+        spread: { kind: RuleKind.Choice, values: Object.values(Spread) },
+        outsideCallers: { kind: RuleKind.Flag },
+        log: {
+            kind: RuleKind.Group,
+            required: {},
+            optional: { level: { kind: RuleKind.Choice, values: Object.values(LogLevel) } },
+        },
+        traces: {
+            kind: RuleKind.Group,
+            required: {},
+            optional: { exporter: { kind: RuleKind.Choice, values: Object.values(TraceExporter) }, url },
+        },
+    },
+};
+
+/**
+ * Reads settings from JSON with comments and lists every mistake. No message repeats a token or key.
+ *
+ * @example
+ * ```ts
+ * readSettings(text).map(resolveSettings);
+ * ```
+ */
+export function readSettings(text: string): Either<readonly Problem[], Settings> {
+    return parseText(text).chain(checkSettings);
+}
+
+/** Checks parsed settings and lists every mistake. */
+export function checkSettings(settings: unknown): Either<readonly Problem[], Settings> {
+    const mistakes = createMistakes(ProblemCode.InvalidSetting);
+    checkValue(settingsRule, settings, [], mistakes);
+    if (isGroup(settings)) {
+        checkListeners(settings["listen"], mistakes);
+        checkSharedSecrets(settings["keys"], mistakes);
+        checkTraces(settings["traces"], mistakes);
+    }
+    const found = mistakes.list();
+    return found.length > 0 ? Left(found) : Right(settings as unknown as Settings);
+}
+
+function checkListeners(listen: unknown, mistakes: Mistakes): void {
+    const seen = new Map<unknown, string>();
+    for (const [name, value] of isGroup(listen) ? Object.entries(listen) : []) {
+        const other = seen.get(value);
+        if (other !== undefined) {
+            const message = `${describeValue(value)} is used by listen.${other} too`;
+            mistakes.add(["listen", name], message, "give each listener its own port");
+        }
+        seen.set(value, name);
+    }
+}
+
+/** A token with two purposes would let a backend server act as an operator. */
+function checkSharedSecrets(keys: unknown, mistakes: Mistakes): void {
+    const seen = new Map<unknown, string>();
+    for (const [purpose, list] of isGroup(keys) ? Object.entries(keys) : []) {
+        for (const [index, value] of Array.isArray(list) ? list.entries() : []) {
+            const other = seen.get(value);
+            if (other !== undefined && other !== purpose) {
+                const message = `the hidden value is used by keys.${other} too`;
+                mistakes.add(["keys", purpose, index], message, "create a separate one for each purpose");
+            }
+            seen.set(value, purpose);
+        }
+    }
+}
+
+function checkTraces(traces: unknown, mistakes: Mistakes): void {
+    if (isGroup(traces) && traces["exporter"] === TraceExporter.Otlp && traces["url"] === undefined) {
+        mistakes.add(["traces", "url"], 'the key is missing; the exporter "otlp" needs it', "add it");
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/settings/constants.ts
@@ -0,0 +1,9 @@
+/** Limits of the settings. */
+
+/** Shortest token or key in characters; shorter ones could be guessed. */
+export const minSecretLength = 16;
+export const maxSecretLength = 512;
+/** Tokens or keys of a kind that are valid at a time: the current one and its successor. */
+export const maxSecrets = 2;
+export const maxHostNameLength = 253;
+export const maxPeers = 64;
--- a/packages/daemon/src/settings/resolveSettings.ts
+++ b/packages/daemon/src/settings/resolveSettings.ts
@@ -29,12 +29,13 @@
     };
 }
 
-/** Splits `address:port`. */
+/** Splits `address:port`; an IPv6 number stands in brackets. */
 export function parseEndpoint(text: string): Endpoint {
     const colon = text.lastIndexOf(":");
-    return { address: text.slice(0, colon), port: Number(text.slice(colon + 1)) };
+    return { address: text.slice(0, colon).replace(/^\[|\]$/g, ""), port: Number(text.slice(colon + 1)) };
 }
 
 export function formatEndpoint(endpoint: Endpoint): string {
-    return `${endpoint.address}:${endpoint.port}`;
+    const address = endpoint.address.includes(":") ? `[${endpoint.address}]` : endpoint.address;
+    return `${address}:${endpoint.port}`;
 }
--- a/packages/daemon/src/start.ts
+++ b/packages/daemon/src/start.ts
@@ -9,10 +9,13 @@
 import { createHeadReading } from "./controllers/headReading.js";
 import { createReadiness } from "./controllers/readiness.js";
 import { createRevisions } from "./controllers/revisions.js";
+import { waitForCalls } from "./draining.js";
 import type { ResolvedSettings } from "./settings/settings.js";
 
 export interface Daemon extends Closeable {
     readonly board: Board;
+    /** Lets the calls in flight finish, at most for the drain limit, and closes the daemon. */
+    shutDown(): Promise<void>;
     close(): Promise<void>;
 }
 
@@ -22,6 +25,7 @@
  */
 export async function startDaemon(settings: ResolvedSettings): Promise<Daemon> {
     const board = createBoard(settings, Date.now());
+    const shutdown = board.claimValue("shutdown");
     const controllers = [
         createHeadReading(board),
         createConfigurationController(board),
@@ -35,12 +39,21 @@
         await createAdmin(board),
         await createCalls(board),
     ];
+    async function close(): Promise<void> {
+        // The calls finish first, while the adapters that they depend on still work.
+        for (const adapter of adapters.toReversed()) {
+            await adapter.close();
+        }
+        controllers.forEach(controller => controller.close());
+        board.close();
+    }
+
     return {
         board,
-        async close() {
-            await Promise.all(adapters.map(adapter => adapter.close()));
-            controllers.forEach(controller => controller.close());
-            board.close();
+        async shutDown() {
+            shutdown.write({ requested: true });
+            await waitForCalls(board, close());
         },
+        close,
     };
 }
