feat(daemon): admin listener by table, metrics, log and traces

Cause: the admin adapter was one function without limits, and events and spans had no reader. Change: adapters/admin is a table of endpoints by method and path with bearer tokens, limits of body, time and concurrency, and problem documents. Metrics come from the sections, counted events and span histograms. The log follows the event feeds and limits repeated events; spans go to the log or to a collector in bounded batches. Drain commands get a feed of their own.

--- a/packages/core/features/steps/answerChecks.ts
+++ b/packages/core/features/steps/answerChecks.ts
@@ -1,6 +1,12 @@
 import { Then, When } from "@cucumber/cucumber";
-import { checkAnswers, formatMistake, ProblemCode, readAnswers, type Problem } from "@tanagertray/core";
-import { pathsOverlap } from "@tanagertray/core/answers/pathOverlap";
+import {
+    checkAnswers,
+    formatMistake,
+    pathsOverlap,
+    ProblemCode,
+    readAnswers,
+    type Problem,
+} from "@tanagertray/core";
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { readFileSync } from "node:fs";
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./answers/answers.js";
 export * from "./answers/resolveAnswers.js";
 export * from "./answers/checkAnswers.js";
+export * from "./answers/pathOverlap.js";
 export * from "./checking/rule.js";
 export * from "./checking/mistakes.js";
 export * from "./checking/checkValue.js";
--- a/packages/core/src/problem.ts
+++ b/packages/core/src/problem.ts
@@ -16,6 +16,7 @@
     MalformedMessage: "malformedMessage",
     Unauthorized: "unauthorized",
     Overloaded: "overloaded",
+    TooLarge: "tooLarge",
 } as const;
 export type ProblemCode = (typeof ProblemCode)[keyof typeof ProblemCode];
 
--- /dev/null
+++ b/packages/daemon/features/admin.feature
@@ -0,0 +1,76 @@
+Feature: The admin listener serves operators and refuses everyone else
+
+    Background:
+        Given an admin listener on a board with one held version
+
+    Scenario Outline: A request without a valid token is refused
+        When the admin path "<request>" is requested with the token "<token>"
+        Then the admin response has status <status> and code "<code>"
+
+        Examples:
+            | request                 | token               | status | code         |
+            | GET /v1/status          |                     | 401    | unauthorized |
+            | GET /v1/status          | backend-token-0001  | 401    | unauthorized |
+            | GET /v1/status          | operator-token-000  | 401    | unauthorized |
+            | POST /v1/drain          | backend-token-0001  | 401    | unauthorized |
+            | POST /v1/backend-servers| operator-token-0001 | 401    | unauthorized |
+            | GET /v1/nothing         | operator-token-0001 | 404    | notFound     |
+            | DELETE /v1/status       | operator-token-0001 | 405    | notFound     |
+
+    Scenario: Both operator tokens of a rotation are valid
+        When the admin path "GET /v1/status" is requested with the token "operator-token-0001"
+        Then the admin response has status 200 and code ""
+        When the admin path "GET /v1/status" is requested with the token "operator-token-0002"
+        Then the admin response has status 200 and code ""
+
+    Scenario: A body over the limit is refused and reaches no command
+        When answers of 4194305 bytes are submitted to the admin listener
+        Then the admin response has status 413 and code "tooLarge"
+        And the revision controller received 0 commands
+
+    Scenario: Answers with mistakes are refused with the full list and reach no command
+        When the answers '{ "deployment": "A", "servces": {} }' are submitted to the admin listener
+        Then the admin response has status 422 and code "invalidAnswer"
+        And the admin response lists 4 mistakes
+        And the revision controller received 0 commands
+
+    Scenario: Correct answers travel through the board and the reply comes back
+        When the answers '{ "deployment": "a", "services": { "s": { "slots": 1, "connections": 1, "operations": [{ "name": "r", "method": "GET", "path": "/", "repeatable": true }] } }, "callers": {} }' are submitted to the admin listener
+        Then the admin response has status 200 and code ""
+        And the revision controller received 1 commands
+
+    Scenario: A drain names a known backend server
+        When the admin path "POST /v1/drain" is requested with the token "operator-token-0001" and the body '{ "backendServer": "s9" }'
+        Then the admin response has status 404 and code "notFound"
+        When the admin path "POST /v1/drain" is requested with the token "operator-token-0001" and the body '{ "backendServer": "s1" }'
+        Then the admin response has status 202 and code ""
+
+    Scenario Outline: An explanation says which step stops a call
+        When the admin path "GET /v1/explain?<query>" is requested with the token "operator-token-0001"
+        Then the explanation says carried <carried> and stops at "<step>" with "<detail>"
+
+        Examples:
+            | query                                                | carried | step      | detail                        |
+            | service=board&caller=crews&method=GET&path=/ponds/3  | true    |           |                               |
+            | service=bord&caller=crews&method=GET&path=/ponds/3   | false   | route     | did you mean "board"          |
+            | service=board&caller=crews&method=PUT&path=/ponds/3  | false   | operation | GET /ponds/*                  |
+            | service=board&caller=crew&method=GET&path=/ponds/3   | false   | caller    | did you mean "crews"          |
+
+    Scenario: The metrics are Prometheus text with counters and durations
+        When 3 events and 200 spans are appended to the board
+        And the admin path "GET /metrics" is requested with the token ""
+        Then every line of the metrics parses
+        And the metrics hold 'tanagertray_events_total{event="test.event"} 3'
+        And the metrics hold 'tanagertray_span_duration_seconds_count{span="call"} 200'
+        And the metrics hold 'tanagertray_configuration_version 7'
+
+    Scenario: Secrets appear in no log line and repeated events are limited
+        When a log follows the board while strangers and operators send 40 requests
+        Then no log line holds a token and each line is JSON with an event
+        And the log omitted repeated events and says how many
+
+    Scenario: Spans reach the collector, and are counted as dropped when it is away
+        When 5 spans are exported to a collector that answers with status 200
+        Then the collector received 5 spans
+        When 5 spans are exported to a collector that answers with status 500
+        Then 5 spans are reported as dropped
--- /dev/null
+++ b/packages/daemon/src/adapters/admin/metrics.ts
@@ -0,0 +1,172 @@
+import { HostState, ReadinessState } from "@tanagertray/core";
+import type { Board } from "../../board.js";
+import type { Counters } from "./counters.js";
+import { Access, type EndpointTable } from "./exchange.js";
+import { sendText } from "./responses.js";
+
+interface Sample {
+    readonly suffix?: string;
+    readonly labels?: Readonly<Record<string, string>>;
+    readonly value: number;
+}
+
+interface Metric {
+    readonly name: string;
+    readonly type: "counter" | "gauge" | "summary";
+    readonly help: string;
+    read(source: Source): readonly Sample[];
+}
+
+export interface Source {
+    readonly board: Board;
+    readonly counters: Counters;
+}
+
+const quantiles = [0.5, 0.9, 0.99, 0.999];
+
+/** Every metric, in the order of the output. */
+const metrics: readonly Metric[] = [
+    {
+        name: "tanagertray_configuration_version",
+        type: "gauge",
+        help: "Configuration version that this host holds.",
+        read: ({ board }) => [{ value: board.read("configuration").held?.manifest.version ?? 0 }],
+    },
+    {
+        name: "tanagertray_rejected_version",
+        type: "gauge",
+        help: "Last configuration version that this host refused as a whole, 0 for none.",
+        read: ({ board }) => [{ value: board.read("configuration").rejected?.version ?? 0 }],
+    },
+    {
+        name: "tanagertray_head_version",
+        type: "gauge",
+        help: "Accepted version by the last read of the head row.",
+        read: ({ board }) => [{ value: board.read("platformState").head?.version ?? 0 }],
+    },
+    {
+        name: "tanagertray_readiness",
+        type: "gauge",
+        help: "1 for the readiness state of this host, 0 for the others.",
+        read: ({ board }) =>
+            Object.values(ReadinessState).map(state => ({
+                labels: { state },
+                value: Number(board.read("readiness").state === state),
+            })),
+    },
+    {
+        name: "tanagertray_platform_reachable",
+        type: "gauge",
+        help: "1 while the platform answers.",
+        read: ({ board }) => [{ value: Number(board.read("platformState").reachable) }],
+    },
+    {
+        name: "tanagertray_hosts",
+        type: "gauge",
+        help: "Known hosts by state.",
+        read: ({ board }) => countBy(board.read("membership").records.values(), Object.values(HostState)),
+    },
+    {
+        name: "tanagertray_peer_links",
+        type: "gauge",
+        help: "Open links to other daemons.",
+        read: ({ board }) => [{ value: board.read("peerLinks").size }],
+    },
+    {
+        name: "tanagertray_backend_servers",
+        type: "gauge",
+        help: "Backend servers of this host by state.",
+        read: ({ board }) => countBy(board.read("backendServers").values(), ["serving", "draining"]),
+    },
+    {
+        name: "tanagertray_events_total",
+        type: "counter",
+        help: "Events by name.",
+        read: ({ counters }) =>
+            [...counters.events()].map(([event, value]) => ({ labels: { event }, value })),
+    },
+    {
+        name: "tanagertray_feed_dropped_total",
+        type: "counter",
+        help: "Entries that a full section dropped.",
+        read: ({ board }) => [...board.dropped()].map(([feed, value]) => ({ labels: { feed }, value })),
+    },
+    {
+        name: "tanagertray_span_duration_seconds",
+        type: "summary",
+        help: "Duration of spans by name.",
+        read: readDurations,
+    },
+    {
+        name: "tanagertray_span_failures_total",
+        type: "counter",
+        help: "Failed spans by name.",
+        read: ({ counters }) =>
+            [...counters.spans()].map(([span, { failures }]) => ({ labels: { span }, value: failures })),
+    },
+    {
+        name: "process_resident_memory_bytes",
+        type: "gauge",
+        help: "Resident set size.",
+        read: () => [{ value: process.memoryUsage.rss() }],
+    },
+    {
+        name: "process_cpu_seconds_total",
+        type: "counter",
+        help: "Processor time used.",
+        read: () => {
+            const { user, system } = process.cpuUsage();
+            return [{ value: (user + system) / 1e6 }];
+        },
+    },
+];
+
+export function metricsEndpoints(source: Source): EndpointTable {
+    return {
+        "GET /metrics": {
+            access: Access.Anyone,
+            handle: ({ response }) =>
+                sendText(response, 200, "text/plain; version=0.0.4; charset=utf-8", renderMetrics(source)),
+        },
+    };
+}
+
+/** Renders the Prometheus text format. */
+export function renderMetrics(source: Source): string {
+    return metrics.map(metric => renderMetric(metric, source)).join("");
+}
+
+function renderMetric(metric: Metric, source: Source): string {
+    const lines = metric.read(source).map(({ suffix = "", labels = {}, value }) => {
+        const pairs = Object.entries(labels).map(([label, text]) => `${label}="${escapeLabel(text)}"`);
+        const set = pairs.length === 0 ? "" : `{${pairs.join(",")}}`;
+        return `${metric.name}${suffix}${set} ${value}\n`;
+    });
+    return `# HELP ${metric.name} ${metric.help}\n# TYPE ${metric.name} ${metric.type}\n${lines.join("")}`;
+}
+
+function escapeLabel(text: string): string {
+    return text.replaceAll("\\", "\\\\").replaceAll('"', '\\"').replaceAll("\n", "\\n");
+}
+
+function countBy(
+    entries: Iterable<{ readonly state: string }>,
+    states: readonly string[],
+): readonly Sample[] {
+    const counts = new Map(states.map(state => [state, 0]));
+    for (const { state } of entries) {
+        counts.set(state, (counts.get(state) ?? 0) + 1);
+    }
+    return [...counts].map(([state, value]) => ({ labels: { state }, value }));
+}
+
+function readDurations({ counters }: Source): readonly Sample[] {
+    return [...counters.spans()].flatMap(([span, { histogram, totalMs }]) => [
+        ...quantiles.map(quantile => ({
+            labels: { span, quantile: String(quantile) },
+            value: histogram.getValueAtPercentile(quantile * 100) / 1e6,
+        })),
+        { suffix: "_sum", labels: { span }, value: totalMs / 1e3 },
+        { suffix: "_count", labels: { span }, value: histogram.totalCount },
+    ]);
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/admin/responses.ts
@@ -0,0 +1,53 @@
+import { ProblemCode, type Problem } from "@tanagertray/core";
+import type { ServerResponse } from "node:http";
+
+const statusByProblem = {
+    [ProblemCode.InvalidSetting]: 422,
+    [ProblemCode.InvalidAnswer]: 422,
+    [ProblemCode.Unreadable]: 400,
+    [ProblemCode.PlatformUnreachable]: 503,
+    [ProblemCode.OutcomeUnknown]: 504,
+    [ProblemCode.Conflict]: 409,
+    [ProblemCode.NotFound]: 404,
+    [ProblemCode.AlreadyDecided]: 409,
+    [ProblemCode.HashMismatch]: 502,
+    [ProblemCode.DanglingReference]: 422,
+    [ProblemCode.WrongBase]: 409,
+    [ProblemCode.OlderVersion]: 409,
+    [ProblemCode.MalformedMessage]: 400,
+    [ProblemCode.Unauthorized]: 401,
+    [ProblemCode.Overloaded]: 429,
+    [ProblemCode.TooLarge]: 413,
+} as const satisfies Partial<Record<ProblemCode, number>>;
+
+/** Status for codes that a later release adds. */
+const otherProblemStatus = 400;
+
+export function send(response: ServerResponse, status: number, body: unknown): void {
+    sendText(response, status, "application/json", JSON.stringify(body));
+}
+
+export function sendText(response: ServerResponse, status: number, type: string, text: string): void {
+    response.writeHead(status, { "content-type": type, "cache-control": "no-store" });
+    response.end(text);
+}
+
+/** Sends a problem details document (RFC 9457). */
+export function sendProblem(
+    response: ServerResponse,
+    reason: Problem,
+    details: { status?: number; mistakes?: readonly Problem[] } = {},
+): void {
+    const table: Readonly<Partial<Record<ProblemCode, number>>> = statusByProblem;
+    const status = details.status ?? table[reason.code] ?? otherProblemStatus;
+    const document = { type: "about:blank", title: reason.code, status, detail: reason.message, ...reason };
+    const mistakes = details.mistakes === undefined ? {} : { mistakes: details.mistakes };
+    const text = JSON.stringify({ ...document, ...mistakes });
+    if (status === 413 || status === 401) {
+        response.setHeader("connection", "close");
+    }
+    if (status === 401) {
+        response.setHeader("www-authenticate", "Bearer");
+    }
+    sendText(response, status, "application/problem+json", text);
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/admin/statusEndpoints.ts
@@ -0,0 +1,63 @@
+import { ReadinessState } from "@tanagertray/core";
+import type { Board } from "../../board.js";
+import { Access, type EndpointTable } from "./exchange.js";
+import { explain } from "./explain.js";
+import { send, sendProblem } from "./responses.js";
+
+/** Endpoints that show the state of this host and what it knows of others. */
+export function statusEndpoints(board: Board): EndpointTable {
+    return {
+        "GET /healthz": {
+            access: Access.Anyone,
+            handle: ({ response }) => send(response, 200, { status: "ok" }),
+        },
+        "GET /readyz": {
+            access: Access.Anyone,
+            handle({ response }) {
+                const readiness = board.read("readiness");
+                send(response, readiness.state === ReadinessState.Ready ? 200 : 503, readiness);
+            },
+        },
+        "GET /v1/status": {
+            access: Access.Operator,
+            handle: ({ response }) => send(response, 200, describeStatus(board)),
+        },
+        "GET /v1/hosts": {
+            access: Access.Operator,
+            handle: ({ response }) => send(response, 200, { hosts: describeHosts(board) }),
+        },
+        "GET /v1/explain": {
+            access: Access.Operator,
+            handle: ({ url, response }) =>
+                explain(board, url.searchParams).caseOf({
+                    Left: reason => sendProblem(response, reason),
+                    Right: explanation => send(response, 200, explanation),
+                }),
+        },
+    };
+}
+
+function describeStatus(board: Board) {
+    const { held, rejected } = board.read("configuration");
+    const settings = board.read("settings");
+    return {
+        host: settings.host,
+        failureDomain: settings.failureDomain,
+        region: settings.region,
+        version: held?.manifest.version ?? 0,
+        rejected,
+        readiness: board.read("readiness"),
+        platform: board.read("platformState"),
+        backendServers: [...board.read("backendServers").values()],
+        peerLinks: [...board.read("peerLinks").values()],
+        hosts: describeHosts(board).length,
+    };
+}
+
+/** Every known host; this one with the version that it holds now. */
+function describeHosts(board: Board) {
+    const { self, records } = board.read("membership");
+    const version = board.read("configuration").held?.manifest.version ?? 0;
+    const others = [...records.values()].filter(record => record.host !== self.host);
+    return [{ ...self, version }, ...others].sort((a, b) => (a.host < b.host ? -1 : 1));
+}
--- a/packages/daemon/src/board.ts
+++ b/packages/daemon/src/board.ts
@@ -68,6 +68,7 @@
     Accept: "accept",
     Reject: "reject",
     List: "list",
+    Diff: "diff",
 } as const;
 export type RevisionCommandKind = (typeof RevisionCommandKind)[keyof typeof RevisionCommandKind];
 
@@ -84,6 +85,12 @@
     readonly outcome: Either<Problem, Revision | Head | readonly Revision[]>;
 }
 
+/** An operator's request that a backend server of this host gets no new work. */
+export interface DrainCommand {
+    readonly backendServer: string;
+    readonly operator: string;
+}
+
 /** Every section of a daemon's blackboard. `docs/design.md` names the writer of each. */
 export interface Sections {
     settings: Value<ResolvedSettings>;
@@ -104,6 +111,7 @@
     readiness: Value<Readiness>;
     shutdown: Value<{ readonly requested: boolean }>;
     announcements: Feed<Announcement>;
+    drainCommands: Feed<DrainCommand>;
     backendServers: Value<ReadonlyMap<string, BackendServer>>;
     revisionCommands: Feed<RevisionCommand>;
     revisionReplies: Feed<RevisionReply>;
@@ -117,6 +125,7 @@
     callEvents: Feed<Event>;
     backendServerEvents: Feed<Event>;
     operatorEvents: Feed<Event>;
+    traceEvents: Feed<Event>;
 }
 
 export type Board = Blackboard<Sections>;
@@ -148,6 +157,7 @@
             configurationOutbox: feedCapacity,
             joiningOutbox: feedCapacity,
             announcements: feedCapacity,
+            drainCommands: feedCapacity,
             revisionCommands: feedCapacity,
             revisionReplies: feedCapacity,
             callsOutbox: feedCapacity,
@@ -160,6 +170,7 @@
             callEvents: feedCapacity,
             backendServerEvents: feedCapacity,
             operatorEvents: feedCapacity,
+            traceEvents: feedCapacity,
         },
     });
 }
--- a/packages/daemon/src/controllers/revisions.ts
+++ b/packages/daemon/src/controllers/revisions.ts
@@ -83,6 +83,10 @@
                 request: { operation: PlatformOperation.ListRows, prefix: "revision/" },
             });
         },
+        [RevisionCommandKind.Diff]: (command: RevisionCommand) => {
+            const message = `revision ${command.revision} cannot be compared yet`;
+            replies.append({ id: command.id, outcome: Left(problem(ProblemCode.NotFound, message)) });
+        },
     } satisfies Record<RevisionCommandKind, (command: RevisionCommand) => void>;
 
     const subscriptions = [
--- a/packages/daemon/src/start.ts
+++ b/packages/daemon/src/start.ts
@@ -1,7 +1,9 @@
-import { createAdmin } from "./adapters/admin.js";
+import { createAdmin } from "./adapters/admin/admin.js";
 import { createCalls } from "./adapters/calls.js";
 import { createClock } from "./adapters/clock.js";
+import { createLog } from "./adapters/log.js";
 import { createPlatformClient } from "./adapters/platform.js";
+import { createTraces } from "./adapters/traces.js";
 import { createBoard, type Board } from "./board.js";
 import type { Closeable } from "./closeable.js";
 import { createBackendServers } from "./controllers/backendServers.js";
@@ -34,6 +36,8 @@
         createRevisions(board),
     ];
     const adapters = [
+        createLog(board),
+        createTraces(board),
         createClock(board),
         createPlatformClient(board),
         await createAdmin(board),
