feat(cli): the operators' commands as a table

Cause: the tool knew two commands and printed raw JSON. Change: a module for each command, a client with typed failures, tables, JSON, a wait with progress, completion, and exit codes 0 done, 1 refused, 2 usage, 3 out of reach. A lost accept shows its rival.

--- /dev/null
+++ b/packages/cli/features/steps/commands.ts
@@ -0,0 +1,75 @@
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { readAnswers } from "@tanagertray/core";
+import { commandTable, type Context } from "@tanagertray/cli";
+import assert from "node:assert/strict";
+import { execFile } from "node:child_process";
+import { readFileSync } from "node:fs";
+import { startFakeAdmin, type FakeAdmin } from "./fakeAdmin.js";
+
+interface World {
+    admin: FakeAdmin;
+    run: { code: number; text: string };
+    template: string;
+}
+
+const golden = "packages/cli/features/golden";
+const token = "operator-token-0001";
+
+Given("an admin server in the state {string}", async function (this: World, state: string) {
+    this.admin = await startFakeAdmin(state);
+});
+
+After(async function (this: World) {
+    await this.admin?.close();
+});
+
+When("tanagertray runs with {string}", async function (this: World, line: string) {
+    const args = line.replaceAll("GOLDEN", golden).split(" ");
+    const env = { ...process.env, TANAGERTRAY_ADMIN: this.admin.url, TANAGERTRAY_TOKEN: token, USER: "dana" };
+    this.run = await new Promise(resolve => {
+        execFile(
+            process.execPath,
+            ["packages/cli/dist/main.js", ...args],
+            { env },
+            (error, stdout, stderr) => {
+                const text = `${stdout}--- standard error ---\n${stderr}`.replaceAll(this.admin.url, "ADMIN");
+                resolve({
+                    code: typeof error?.code === "number" ? error.code : error === null ? 0 : -1,
+                    text,
+                });
+            },
+        );
+    });
+});
+
+Then(
+    "tanagertray exits with {int} and its output equals the golden file {string}",
+    function (this: World, code: number, file: string) {
+        assert.equal(this.run.text, readFileSync(`${golden}/${file}`, "utf8"));
+        assert.equal(this.run.code, code);
+        assert.ok(!this.run.text.includes(token));
+    },
+);
+
+Then(
+    "the admin server received the token and the operator {string}",
+    function (this: World, operator: string) {
+        const last = this.admin.requests.at(-1);
+        assert.equal(last?.authorization, `Bearer ${token}`);
+        assert.equal(last?.operator, operator);
+    },
+);
+
+When("the template of tanagertray answers init is filled in", async function (this: World) {
+    const context = { options: { deployment: "azraq" } } as unknown as Context;
+    const outcome = await commandTable["answers init"]?.run([], context);
+    const text = outcome?.map(result => result.text).orDefault("") ?? "";
+    this.template = text
+        .replace('"slots": 0', '"slots": 20')
+        .replace('"connections": 0', '"connections": 130');
+    assert.notEqual(this.template, text);
+});
+
+Then("the filled-in template has no mistakes", function (this: World) {
+    assert.deepEqual(readAnswers(this.template).swap().orDefault([]), []);
+});
--- /dev/null
+++ b/packages/cli/src/commands/answersCheck.ts
@@ -0,0 +1,30 @@
+import { problem, ProblemCode, readAnswers, type Answers, type Problem } from "@tanagertray/core";
+import { ExitCode, type Command, type Failure, type Result } from "../command.js";
+import { readTextFile } from "../readFile.js";
+
+export const answersCheck: Command = {
+    arguments: "<file>",
+    describe: "List every mistake of filled-in answers",
+    example: "answers check answers.jsonc",
+    async run([file = ""]) {
+        return readTextFile(file).chain(text =>
+            readAnswers(text)
+                .mapLeft(mistakes => describeMistakes(file, mistakes))
+                .map(answers => describeAnswers(file, answers)),
+        );
+    },
+};
+
+function describeMistakes(file: string, mistakes: readonly Problem[]): Failure {
+    const message = `${file} has ${mistakes.length} ${mistakes.length === 1 ? "mistake" : "mistakes"}`;
+    const nextStep = "correct the answers and check them again";
+    const code = mistakes[0]?.code ?? ProblemCode.InvalidAnswer;
+    return { exitCode: ExitCode.Refused, problem: problem(code, message, { nextStep }), mistakes };
+}
+
+function describeAnswers(file: string, answers: Answers): Result {
+    const services = Object.keys(answers.services).length;
+    const callers = Object.keys(answers.callers).length;
+    const text = `${file} has no mistakes: ${services} services, ${callers} callers\n`;
+    return { json: { services, callers }, text };
+}
--- a/packages/core/src/problem.ts
+++ b/packages/core/src/problem.ts
@@ -5,6 +5,7 @@
     InvalidAnswer: "invalidAnswer",
     Unreadable: "unreadable",
     PlatformUnreachable: "platformUnreachable",
+    DaemonUnreachable: "daemonUnreachable",
     OutcomeUnknown: "outcomeUnknown",
     Conflict: "conflict",
     NotFound: "notFound",
--- a/packages/daemon/src/adapters/admin/revisionEndpoints.ts
+++ b/packages/daemon/src/adapters/admin/revisionEndpoints.ts
@@ -100,10 +100,14 @@
 
 function summarize(mistakes: readonly Problem[]): Problem {
     const [first] = mistakes;
-    return problem(first?.code ?? ProblemCode.InvalidAnswer, `the answers have ${mistakes.length} mistakes`, {
-        where: "answers",
-        nextStep: "correct them and run `tanagertray answers check`",
-    });
+    return problem(
+        first?.code ?? ProblemCode.InvalidAnswer,
+        `the answers have ${mistakes.length} ${mistakes.length === 1 ? "mistake" : "mistakes"}`,
+        {
+            where: "answers",
+            nextStep: "correct them and run `tanagertray answers check`",
+        },
+    );
 }
 
 function revisionNumber(value: unknown): Either<Problem, number> {
