test(cli): run the commands in the test process

Change: a command takes its environment and output as an argument, so the scenarios call it directly; six scenarios still start the process, for the exit codes and the usage errors of the parser.

--- a/packages/cli/features/commands.feature
+++ b/packages/cli/features/commands.feature
@@ -41,8 +41,20 @@
             | normal   | completion bash                           | 0    | completion-bash.txt    |
             | normal   | completion zsh                            | 0    | completion-zsh.txt     |
             | normal   | completion fish                           | 2    | completion-usage.txt   |
+
+    Scenario Outline: The process passes on output and exit code, and usage errors exit with 2
+        Given an admin server in the state "<state>"
+        When the tanagertray process runs with "<arguments>"
+        Then tanagertray exits with <code> and its output equals the golden file "<golden>"
+
+        Examples:
+            | state    | arguments                                 | code | golden                 |
+            | normal   | revisions                                 | 0    | revisions.txt          |
+            | lost     | accept 12                                 | 1    | accept-lost.txt        |
+            | closed   | status                                    | 3    | closed.txt             |
             | normal   | status --nope                             | 2    | unknown-option.txt     |
             | normal   | stats                                     | 2    | unknown-command.txt    |
+            | normal   | accept                                    | 2    | too-few.txt            |
 
     Scenario: The requests carry the token and the operator's name
         Given an admin server in the state "normal"
--- a/packages/cli/features/steps/commands.ts
+++ b/packages/cli/features/steps/commands.ts
@@ -1,6 +1,6 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { readAnswers } from "@tanagertray/core";
-import { commandTable, type Context } from "@tanagertray/cli";
+import { commandTable, parseArguments, runCommand, type Context } from "@tanagertray/cli";
 import assert from "node:assert/strict";
 import { execFile } from "node:child_process";
 import { readFileSync } from "node:fs";
@@ -23,22 +23,42 @@
     await this.admin?.close();
 });
 
+function argumentsOf(line: string): readonly string[] {
+    return line.replaceAll("GOLDEN", golden).split(" ");
+}
+
+function environmentOf({ admin }: World) {
+    return { TANAGERTRAY_ADMIN: admin.url, TANAGERTRAY_TOKEN: token, USER: "dana" };
+}
+
+function takeOutput(world: World, code: number, output: string, errors: string): void {
+    const text = `${output}--- standard error ---\n${errors}`.replaceAll(world.admin.url, "ADMIN");
+    world.run = { code, text };
+}
+
 When("tanagertray runs with {string}", async function (this: World, line: string) {
-    const args = line.replaceAll("GOLDEN", golden).split(" ");
-    const env = { ...process.env, TANAGERTRAY_ADMIN: this.admin.url, TANAGERTRAY_TOKEN: token, USER: "dana" };
-    this.run = await new Promise(resolve => {
-        execFile(
-            process.execPath,
-            ["packages/cli/dist/main.js", ...args],
-            { env },
-            (error, stdout, stderr) => {
-                const text = `${stdout}--- standard error ---\n${stderr}`.replaceAll(this.admin.url, "ADMIN");
-                resolve({
-                    code: typeof error?.code === "number" ? error.code : error === null ? 0 : -1,
-                    text,
-                });
-            },
-        );
+    const parsed = parseArguments(["node", "tanagertray", ...argumentsOf(line)]);
+    assert.ok(parsed !== undefined);
+    let output = "";
+    let errors = "";
+    const code = await runCommand(parsed, {
+        env: environmentOf(this),
+        interactive: false,
+        write: text => (output += text),
+        writeError: text => (errors += text),
+    });
+    takeOutput(this, code, output, errors);
+});
+
+When("the tanagertray process runs with {string}", async function (this: World, line: string) {
+    const env = { ...process.env, ...environmentOf(this) };
+    const args = ["packages/cli/dist/main.js", ...argumentsOf(line)];
+    await new Promise<void>(resolve => {
+        execFile(process.execPath, args, { env }, (error, stdout, stderr) => {
+            const code = error === null ? 0 : typeof error.code === "number" ? error.code : -1;
+            takeOutput(this, code, stdout, stderr);
+            resolve();
+        });
     });
 });
 
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -4,5 +4,10 @@
 
 const parsed = parseArguments(process.argv);
 if (parsed !== undefined) {
-    process.exitCode = await runCommand(parsed);
+    process.exitCode = await runCommand(parsed, {
+        env: process.env,
+        interactive: process.stderr.isTTY,
+        write: text => process.stdout.write(text),
+        writeError: text => process.stderr.write(text),
+    });
 }
--- a/packages/cli/src/parseArguments.ts
+++ b/packages/cli/src/parseArguments.ts
@@ -6,6 +6,8 @@
 export interface ParsedArguments {
     readonly command: Command;
     readonly args: readonly (string | undefined)[];
+    /** Arguments that the command does not take. */
+    readonly surplus: readonly string[];
     readonly options: Readonly<Record<string, string | boolean | undefined>>;
 }
 
@@ -31,20 +33,11 @@
     if (parsed === undefined) {
         return undefined;
     }
-    const options = parsed.args.at(-1) as ParsedArguments["options"];
-    checkSurplus(parsed.args.at(-1) as { _: readonly string[] });
+    const { _: surplus, ...options } = parsed.args.at(-1) as ParsedArguments["options"] & {
+        readonly _: readonly string[];
+    };
     const args = parsed.args.slice(0, -1) as (string | undefined)[];
-    return { command: commandTable[parsed.name] as Command, args, options };
-}
-
-/** Refuses arguments that the command would ignore. */
-function checkSurplus({ _: surplus }: { _: readonly string[] }): void {
-    if (surplus.length > 0) {
-        process.stderr.write(
-            `\n  ERROR\n    Too many arguments: ${surplus.join(" ")}\n\n  Run \`$ tanagertray --help\` for more info.\n\n`,
-        );
-        process.exit(ExitCode.Usage);
-    }
+    return { command: commandTable[parsed.name] as Command, args, surplus, options };
 }
 
 /** sade ends the process with 1 on a usage error, which here means a refusal. */
--- a/packages/cli/src/runCommand.ts
+++ b/packages/cli/src/runCommand.ts
@@ -6,19 +6,30 @@
 import { createOperatorClient } from "./operatorClient.js";
 import type { ParsedArguments } from "./parseArguments.js";
 
+/** Where a command runs: its environment and its output. */
+export interface Terminal {
+    readonly env: Readonly<Record<string, string | undefined>>;
+    /** Whether progress can be shown on one line of the error output. */
+    readonly interactive: boolean;
+    write(text: string): void;
+    writeError(text: string): void;
+}
+
 /** Runs a command and prints its outcome; returns the exit code. */
-export async function runCommand({ command, args, options }: ParsedArguments): Promise<ExitCode> {
-    const outcome = await createContext(options).caseOf<Promise<Outcome> | Outcome>({
+export async function runCommand(parsed: ParsedArguments, terminal: Terminal): Promise<ExitCode> {
+    const { command, args, options } = parsed;
+    const context = checkSurplus(parsed).chain(() => createContext(options, terminal));
+    const outcome = await context.caseOf<Promise<Outcome> | Outcome>({
         Left: failure => Left(failure),
-        Right: context => command.run(args, context),
+        Right: found => command.run(args, found),
     });
-    if (process.stderr.isTTY) {
-        process.stderr.write(clearLine);
+    if (terminal.interactive) {
+        terminal.writeError(clearLine);
     }
     return outcome.caseOf({
-        Left: failure => printFailure(failure, options["json"] === true),
+        Left: failure => printFailure(failure, options["json"] === true, terminal),
         Right: ({ json, text, exitCode }) => {
-            process.stdout.write(options["json"] === true ? `${JSON.stringify(json)}\n` : text);
+            terminal.write(options["json"] === true ? `${JSON.stringify(json)}\n` : text);
             return exitCode ?? ExitCode.Done;
         },
     });
@@ -26,9 +37,16 @@
 
 const clearLine = "\r\u001b[K";
 
-function createContext(options: ParsedArguments["options"]): Either<Failure, Context> {
+/** Refuses arguments that the command would ignore. */
+function checkSurplus({ surplus }: ParsedArguments): Either<Failure, undefined> {
+    return surplus.length === 0
+        ? Right(undefined)
+        : Left(usageFailure(`too many arguments: ${surplus.join(" ")}`, "run `tanagertray --help`"));
+}
+
+function createContext(options: ParsedArguments["options"], terminal: Terminal): Either<Failure, Context> {
     const read = (option: string, variable: string, fallback: string) =>
-        String(options[option] ?? process.env[variable] ?? fallback);
+        String(options[option] ?? terminal.env[variable] ?? fallback);
     const address = read("admin", "TANAGERTRAY_ADMIN", defaultAdmin);
     const admin = /^https?:\/\//.test(address) ? address : `http://${address}`;
     const token = read("token", "TANAGERTRAY_TOKEN", "");
@@ -44,16 +62,16 @@
         operator: read("operator", "USER", "unknown").replace(/[^\x20-\x7e]/g, "?"),
         options,
         progress(text) {
-            if (process.stderr.isTTY) {
-                process.stderr.write(`${clearLine}${text}`);
+            if (terminal.interactive) {
+                terminal.writeError(`${clearLine}${text}`);
             }
         },
     });
 }
 
-function printFailure(failure: Failure, json: boolean): ExitCode {
+function printFailure(failure: Failure, json: boolean, terminal: Terminal): ExitCode {
     const { exitCode, problem, mistakes } = failure;
     const document = { ...problem, ...(mistakes === undefined ? {} : { mistakes }) };
-    process.stderr.write(json ? `${JSON.stringify(document)}\n` : formatFailure(failure, formatMistake));
+    terminal.writeError(json ? `${JSON.stringify(document)}\n` : formatFailure(failure, formatMistake));
     return exitCode;
 }
