--- a/packages/daemon/features/steps/admin.ts
+++ b/packages/daemon/features/steps/admin.ts
@@ -242,10 +242,14 @@
 });
 
 Then("the log omitted repeated events and says how many", function (this: World) {
-    const entries = this.lines.map(line => JSON.parse(line) as { event: string; omitted?: number });
+    const entries = this.lines.map(
+        line => JSON.parse(line) as { event: string; omitted?: number; omittedEvent?: string },
+    );
     const unauthorized = entries.filter(entry => entry.event === "operator.unauthorized");
     assert.equal(unauthorized.length, 10);
-    assert.ok(entries.some(entry => entry.event === "log.omitted" && entry.omitted === 10));
+    const summary = entries.find(entry => entry.omittedEvent === "operator.unauthorized");
+    assert.equal(summary?.event, "log.omitted");
+    assert.equal(summary?.omitted, 10);
 });
 
 When(
--- a/packages/daemon/src/adapters/admin/admin.ts
+++ b/packages/daemon/src/adapters/admin/admin.ts
@@ -18,7 +18,7 @@
 export async function createAdmin(board: Board): Promise<Closeable> {
     const { keys, listen } = board.read("settings");
     const events = board.claimFeed("operatorEvents");
-    const commands = createCommandRunner(board);
+    const commands = createCommandRunner(board, event => events.append(event));
     const counters = createCounters(board);
     const endpoints: EndpointTable = {
         ...statusEndpoints(board),
--- a/packages/daemon/src/adapters/admin/commands.ts
+++ b/packages/daemon/src/adapters/admin/commands.ts
@@ -1,6 +1,6 @@
-import { problem, ProblemCode } from "@tanagertray/core";
+import { EventLevel, problem, ProblemCode, type Event } from "@tanagertray/core";
 import { randomUUID } from "node:crypto";
-import type { Board, RevisionCommand, RevisionReply } from "../../board.js";
+import { RevisionCommandKind, type Board, type RevisionCommand, type RevisionReply } from "../../board.js";
 import { commandDeadlineMs } from "./constants.js";
 import type { Exchange } from "./exchange.js";
 import { send, sendProblem } from "./responses.js";
@@ -12,7 +12,7 @@
 }
 
 /** Passes operators' commands to the revision controller and waits for their replies. */
-export function createCommandRunner(board: Board): CommandRunner {
+export function createCommandRunner(board: Board, report: (event: Event) => void): CommandRunner {
     const commands = board.claimFeed("revisionCommands");
     const waiting = new Map<string, (reply: RevisionReply) => void>();
     const subscription = board.follow("revisionReplies", reply => waiting.get(reply.id)?.(reply));
@@ -32,6 +32,7 @@
     return {
         async run({ response }, command) {
             const reply = await execute({ ...command, id: randomUUID() });
+            report(describeCommand(command, reply));
             if (reply === undefined) {
                 const message = `the command did not finish within ${commandDeadlineMs} ms`;
                 const nextStep = "run `tanagertray revisions` before trying again";
@@ -45,3 +46,20 @@
         close: () => subscription.close(),
     };
 }
+
+/** The record of who decided what. Lists and comparisons change nothing and are not worth a line. */
+function describeCommand(
+    { kind, operator, revision }: Omit<RevisionCommand, "id">,
+    reply: RevisionReply | undefined,
+): Event {
+    const outcome = reply?.outcome
+        .swap()
+        .map(reason => reason.code as string)
+        .orDefault("done");
+    const readOnly = kind === RevisionCommandKind.List || kind === RevisionCommandKind.Diff;
+    return {
+        name: "operator.command",
+        level: readOnly ? EventLevel.Debug : EventLevel.Info,
+        fields: { kind, operator, revision, outcome: outcome ?? ProblemCode.OutcomeUnknown },
+    };
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/admin/knownHosts.ts
@@ -0,0 +1,10 @@
+import type { HostRecord } from "@tanagertray/core";
+import type { Board } from "../../board.js";
+
+/** Every known host by name; this one with the version that it holds now. */
+export function knownHosts(board: Board): readonly HostRecord[] {
+    const { self, records } = board.read("membership");
+    const version = board.read("configuration").held?.manifest.version ?? 0;
+    const others = [...records.values()].filter(record => record.host !== self.host);
+    return [{ ...self, version }, ...others].sort((a, b) => (a.host < b.host ? -1 : 1));
+}
--- a/packages/daemon/src/adapters/admin/metrics.ts
+++ b/packages/daemon/src/adapters/admin/metrics.ts
@@ -2,6 +2,7 @@
 import type { Board } from "../../board.js";
 import type { Counters } from "./counters.js";
 import { Access, type EndpointTable } from "./exchange.js";
+import { knownHosts } from "./knownHosts.js";
 import { sendText } from "./responses.js";
 
 interface Sample {
@@ -64,7 +65,7 @@
         name: "tanagertray_hosts",
         type: "gauge",
         help: "Known hosts by state.",
-        read: ({ board }) => countBy(board.read("membership").records.values(), Object.values(HostState)),
+        read: ({ board }) => countBy(knownHosts(board), Object.values(HostState)),
     },
     {
         name: "tanagertray_peer_links",
--- a/packages/daemon/src/adapters/admin/statusEndpoints.ts
+++ b/packages/daemon/src/adapters/admin/statusEndpoints.ts
@@ -2,6 +2,7 @@
 import type { Board } from "../../board.js";
 import { Access, type EndpointTable } from "./exchange.js";
 import { explain } from "./explain.js";
+import { knownHosts } from "./knownHosts.js";
 import { send, sendProblem } from "./responses.js";
 
 /** Endpoints that show the state of this host and what it knows of others. */
@@ -24,7 +25,7 @@
         },
         "GET /v1/hosts": {
             access: Access.Operator,
-            handle: ({ response }) => send(response, 200, { hosts: describeHosts(board) }),
+            handle: ({ response }) => send(response, 200, { hosts: knownHosts(board) }),
         },
         "GET /v1/explain": {
             access: Access.Operator,
@@ -50,14 +51,6 @@
         platform: board.read("platformState"),
         backendServers: [...board.read("backendServers").values()],
         peerLinks: [...board.read("peerLinks").values()],
-        hosts: describeHosts(board).length,
+        hosts: knownHosts(board).length,
     };
 }
-
-/** Every known host; this one with the version that it holds now. */
-function describeHosts(board: Board) {
-    const { self, records } = board.read("membership");
-    const version = board.read("configuration").held?.manifest.version ?? 0;
-    const others = [...records.values()].filter(record => record.host !== self.host);
-    return [{ ...self, version }, ...others].sort((a, b) => (a.host < b.host ? -1 : 1));
-}
--- a/packages/daemon/src/adapters/log.ts
+++ b/packages/daemon/src/adapters/log.ts
@@ -66,7 +66,11 @@
     function startPeriod(): void {
         for (const [name, { omitted }] of limits) {
             if (omitted > 0) {
-                write({ name: "log.omitted", level: EventLevel.Warn, fields: { event: name, omitted } });
+                write({
+                    name: "log.omitted",
+                    level: EventLevel.Warn,
+                    fields: { omittedEvent: name, omitted },
+                });
             }
         }
         limits.clear();
