--- a/packages/daemon/features/process.feature
+++ b/packages/daemon/features/process.feature
@@ -10,3 +10,12 @@
         Given a running tanagertrayd with a request in flight
         When a second tanagertrayd starts with the same settings
         Then the second tanagertrayd exits with 1 and one line with "process.startFailed"
+
+    Scenario: An uncaught exception is one log line and exit code 1
+        When a daemon process throws an uncaught exception
+        Then the second tanagertrayd exits with 1 and one line with "process.uncaughtException"
+
+    Scenario: A call that never ends does not hold the process beyond the drain limit
+        Given a board whose held services drain within 50 ms
+        When the daemon waits for a call that never ends
+        Then the wait ended after the drain limit and its margin of 1000 ms
--- a/packages/daemon/features/steps/process.ts
+++ b/packages/daemon/features/steps/process.ts
@@ -1,4 +1,6 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
+import { createBoard, resolveSettings, type Board } from "@tanagertray/daemon";
+import { waitForCalls } from "@tanagertray/daemon/draining";
 import assert from "node:assert/strict";
 import { spawn, type ChildProcess } from "node:child_process";
 import { once } from "node:events";
@@ -18,6 +20,9 @@
     exited: Promise<unknown[]>;
     inFlight: ClientRequest;
     response: Promise<IncomingMessage>;
+    board: Board;
+    drainMs: number;
+    waitedMs: number;
     second: { code: number | null; stderr: string };
 }
 
@@ -108,15 +113,57 @@
 );
 
 When("a second tanagertrayd starts with the same settings", async function (this: World) {
-    const second = spawn(process.execPath, [main, "--settings", this.file], {
-        stdio: ["ignore", "ignore", "pipe"],
-    });
+    await runSecond(this, [main, "--settings", this.file]);
+});
+
+When("a daemon process throws an uncaught exception", async function (this: World) {
+    const ports = { calls: await freePort(), peer: await freePort(), admin: await freePort() };
+    const settings = JSON.stringify(resolveSettings(validSettings(ports)));
+    const script = `import { runDaemon } from "@tanagertray/daemon/runDaemon";
+        await runDaemon(${settings});
+        setTimeout(() => { throw new Error("on purpose"); });`;
+    await runSecond(this, ["--input-type=module", "-e", script]);
+});
+
+async function runSecond(world: World, args: readonly string[]): Promise<void> {
+    const second = spawn(process.execPath, args, { stdio: ["ignore", "ignore", "pipe"] });
     let stderr = "";
     second.stderr.on("data", (chunk: Buffer) => (stderr += chunk.toString("utf8")));
     const [code] = (await once(second, "close")) as [number | null];
-    this.second = { code, stderr };
+    world.second = { code, stderr };
+}
+
+Given("a board whose held services drain within {int} ms", function (this: World, drainMs: number) {
+    this.board = createBoard(resolveSettings(validSettings()), 0);
+    const service = {
+        kind: "service",
+        name: "board",
+        slots: 1,
+        connections: 1,
+        drainMs,
+        coldStartMs: 0,
+    } as const;
+    const manifest = { version: 1, entries: {} };
+    const resources = new Map([["service/board", service]]);
+    const held = { manifest, manifestHash: "hash", resources, parts: new Map() };
+    this.board.claimValue("configuration").write({ held });
+    this.drainMs = drainMs;
+});
+
+When("the daemon waits for a call that never ends", async function (this: World) {
+    const startedAt = performance.now();
+    await waitForCalls(this.board, new Promise(() => undefined));
+    this.waitedMs = performance.now() - startedAt;
 });
 
+Then(
+    "the wait ended after the drain limit and its margin of {int} ms",
+    function (this: World, marginMs: number) {
+        // Timers may fire up to 1 ms early by this clock.
+        assert.ok(this.waitedMs >= this.drainMs + marginMs - 1, `${this.waitedMs} ms`);
+    },
+);
+
 Then(
     "the second tanagertrayd exits with 1 and one line with {string}",
     function (this: World, event: string) {
