test(daemon): limits of the admin listener and raw answers

Cause: the limit of concurrent requests, chunked bodies, raw answers and readiness had no scenario. Change: a scenario each; the steps for log, metrics and traces move to a file of their own. Conclusion: each limit of the admin page is exercised except the time limits.

--- a/packages/daemon/features/admin.feature
+++ b/packages/daemon/features/admin.feature
@@ -74,3 +74,24 @@
         Then the collector received 5 spans
         When 5 spans are exported to a collector that answers with status 500
         Then 5 spans are reported as dropped
+
+    Scenario: More requests than the limit are refused, and health checks still work
+        When 64 requests with unfinished bodies are open at the admin listener
+        And the admin path "GET /v1/status" is requested with the token "operator-token-0001"
+        Then the admin response has status 429 and code "overloaded"
+        When the admin path "GET /healthz" is requested with the token ""
+        Then the admin response has status 200 and code ""
+
+    Scenario: Answers as raw text keep their comments and name the operator in a header
+        When the raw answers '{ /* new */ "deployment": "a", "services": { "s": { "slots": 1, "connections": 1, "operations": [{ "name": "r", "method": "GET", "path": "/", "repeatable": true }] } }, "callers": {} }' are submitted by "dana"
+        Then the admin response has status 200 and code ""
+        And the revision controller received a command of the operator "dana"
+
+    Scenario: A chunked body over the limit is refused without a declared length
+        When a chunked body of 20000 bytes is sent to the admin path "POST /v1/drain"
+        Then the admin response has status 413 and code "tooLarge"
+
+    Scenario: A host that is not ready says so to monitoring
+        When the readiness becomes "joining"
+        And the admin path "GET /readyz" is requested with the token ""
+        Then the admin response has status 503 and code ""
--- /dev/null
+++ b/packages/daemon/features/steps/telemetry.ts
@@ -0,0 +1,140 @@
+import { Then, When } from "@cucumber/cucumber";
+import type { Span } from "@tanagertray/core";
+import { createBoard, createLog, createTraces, resolveSettings } from "@tanagertray/daemon";
+import assert from "node:assert/strict";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { Writable } from "node:stream";
+import { send, tokens, waitFor, type World } from "./adminWorld.js";
+import { validSettings } from "./validSettings.js";
+
+function makeSpan(durationMs: number): Span {
+    return {
+        traceId: "0".repeat(31) + "1",
+        spanId: "0".repeat(15) + "1",
+        name: "call",
+        startedAt: 1_700_000_000_000,
+        durationMs,
+        failed: false,
+        attributes: { service: "board", attempts: 1, repeated: false },
+    };
+}
+
+When(
+    "{int} events and {int} spans are appended to the board",
+    async function (this: World, events: number, spans: number) {
+        const feed = this.board.claimFeed("callEvents");
+        const spanFeed = this.board.claimFeed("spans");
+        for (let index = 0; index < events; index += 1) {
+            feed.append({ name: "test.event", level: "info", fields: {} });
+        }
+        for (let index = 0; index < spans; index += 1) {
+            spanFeed.append(makeSpan(index));
+        }
+        await waitFor(async () => {
+            await send(this, "GET /metrics", "");
+            return this.text.includes("tanagertray_span_duration_seconds_count");
+        });
+    },
+);
+
+Then("every line of the metrics parses", function (this: World) {
+    const sample = /^[a-z_]+(\{([a-z_]+="([^"\\\n]|\\.)*",?)+\})? -?[0-9.e+-]+$/;
+    const comment = /^# (HELP [a-z_]+ .+|TYPE [a-z_]+ (counter|gauge|summary))$/;
+    const lines = this.text.trimEnd().split("\n");
+    assert.ok(lines.length > 20);
+    assert.deepEqual(
+        lines.filter(line => !sample.test(line) && !comment.test(line)),
+        [],
+    );
+});
+
+Then(/^the metrics hold '(.*)'$/, function (this: World, line: string) {
+    assert.ok(this.text.split("\n").includes(line), this.text);
+});
+
+When(
+    "a log follows the board while strangers and operators send {int} requests",
+    async function (this: World, count: number) {
+        this.lines = [];
+        const lines = this.lines;
+        const output = new Writable({
+            write(chunk: Buffer, _encoding, next) {
+                lines.push(chunk.toString("utf8").trimEnd());
+                next();
+            },
+        });
+        const log = createLog(this.board, { output });
+        for (let index = 0; index < count; index += 1) {
+            await send(
+                this,
+                "GET /v1/status?token=wrong-token-00001",
+                tokens[index % tokens.length] as string,
+            );
+        }
+        await log.close();
+    },
+);
+
+Then("no log line holds a token and each line is JSON with an event", function (this: World) {
+    assert.ok(this.lines.length > 10);
+    for (const line of this.lines) {
+        const { event, level, time } = JSON.parse(line) as Record<string, string>;
+        assert.ok(event !== undefined && level !== undefined && time !== undefined);
+        assert.ok(!tokens.some(token => line.includes(token)), line);
+    }
+});
+
+Then("the log omitted repeated events and says how many", function (this: World) {
+    const entries = this.lines.map(
+        line => JSON.parse(line) as { event: string; omitted?: number; omittedEvent?: string },
+    );
+    const unauthorized = entries.filter(entry => entry.event === "operator.unauthorized");
+    assert.equal(unauthorized.length, 10);
+    const summary = entries.find(entry => entry.omittedEvent === "operator.unauthorized");
+    assert.equal(summary?.event, "log.omitted");
+    assert.equal(summary?.omitted, 10);
+});
+
+When(
+    "{int} spans are exported to a collector that answers with status {int}",
+    async function (this: World, count: number, status: number) {
+        const world = Object.assign(this, { exported: 0, dropped: 0 });
+        const server = createServer(async (incoming, response) => {
+            const chunks: Buffer[] = [];
+            for await (const chunk of incoming as AsyncIterable<Buffer>) {
+                chunks.push(chunk);
+            }
+            const body = JSON.parse(Buffer.concat(chunks).toString("utf8")) as {
+                resourceSpans: { scopeSpans: { spans: unknown[] }[] }[];
+            };
+            world.exported += body.resourceSpans[0]?.scopeSpans[0]?.spans.length ?? 0;
+            response.writeHead(status).end();
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const { port } = server.address() as AddressInfo;
+        const settings = validSettings();
+        settings.traces = { exporter: "otlp", url: `http://127.0.0.1:${port}/v1/traces` };
+        const board = createBoard(resolveSettings(settings), 0);
+        board.follow("traceEvents", ({ name, fields }) => {
+            world.dropped += name === "trace.dropped" ? Number(fields["spans"]) : 0;
+        });
+        const traces = createTraces(board);
+        const feed = board.claimFeed("spans");
+        for (let index = 0; index < count; index += 1) {
+            feed.append(makeSpan(index));
+        }
+        await waitFor(() => (status === 200 ? world.exported === count : world.dropped === count));
+        await traces.close();
+        server.close();
+        server.closeAllConnections();
+    },
+);
+
+Then("the collector received {int} spans", function (this: World, count: number) {
+    assert.equal(this.exported, count);
+});
+
+Then("{int} spans are reported as dropped", function (this: World, count: number) {
+    assert.equal(this.dropped, count);
+});
