--- a/packages/core/src/problem.ts
+++ b/packages/core/src/problem.ts
@@ -5,6 +5,7 @@
     InvalidAnswer: "invalidAnswer",
     Unreadable: "unreadable",
     PlatformUnreachable: "platformUnreachable",
+    DaemonUnreachable: "daemonUnreachable",
     OutcomeUnknown: "outcomeUnknown",
     Conflict: "conflict",
     NotFound: "notFound",
@@ -16,6 +17,7 @@
     MalformedMessage: "malformedMessage",
     Unauthorized: "unauthorized",
     Overloaded: "overloaded",
+    TooLarge: "tooLarge",
 } as const;
 export type ProblemCode = (typeof ProblemCode)[keyof typeof ProblemCode];
 
--- a/packages/daemon/src/board.ts
+++ b/packages/daemon/src/board.ts
@@ -72,6 +72,7 @@
     Accept: "accept",
     Reject: "reject",
     List: "list",
+    Diff: "diff",
 } as const;
 export type RevisionCommandKind = (typeof RevisionCommandKind)[keyof typeof RevisionCommandKind];
 
@@ -127,6 +128,7 @@
     callEvents: Feed<Event>;
     backendServerEvents: Feed<Event>;
     operatorEvents: Feed<Event>;
+    traceEvents: Feed<Event>;
 }
 
 export type Board = Blackboard<Sections>;
@@ -173,6 +175,7 @@
             callEvents: feedCapacity,
             backendServerEvents: feedCapacity,
             operatorEvents: feedCapacity,
+            traceEvents: feedCapacity,
         },
     });
 }
--- a/packages/daemon/src/start.ts
+++ b/packages/daemon/src/start.ts
@@ -1,8 +1,10 @@
-import { createAdmin } from "./adapters/admin.js";
+import { createAdmin } from "./adapters/admin/admin.js";
 import { createCalls } from "./adapters/calls/createCalls.js";
 import { createClock } from "./adapters/clock.js";
 import { closeListener, openListener } from "./adapters/httpListener.js";
+import { createLog } from "./adapters/log.js";
 import { createPlatformClient } from "./adapters/platform.js";
+import { createTraces } from "./adapters/traces.js";
 import { createBoard, type Board } from "./board.js";
 import type { Closeable } from "./closeable.js";
 import { createBackendServers } from "./controllers/backendServers.js";
@@ -11,10 +13,13 @@
 import { createReadiness } from "./controllers/readiness.js";
 import { createRevisions } from "./controllers/revisions.js";
 import { createRouting } from "./controllers/routing.js";
+import { waitForCalls } from "./draining.js";
 import type { ResolvedSettings } from "./settings/settings.js";
 
 export interface Daemon extends Closeable {
     readonly board: Board;
+    /** Asks for shutdown and waits until the calls in flight are done or the drain limit has passed. */
+    shutDown(): Promise<void>;
     close(): Promise<void>;
 }
 
@@ -24,6 +29,7 @@
  */
 export async function startDaemon(settings: ResolvedSettings): Promise<Daemon> {
     const board = createBoard(settings, Date.now());
+    const shutdown = board.claimValue("shutdown");
     const controllers = [
         createHeadReading(board),
         createConfigurationController(board),
@@ -32,23 +38,27 @@
         createRouting(board),
         createRevisions(board),
     ];
-    const shutdown = board.claimValue("shutdown");
     const calls = await createCalls(board);
     const peerServer = await openListener(settings.listen.peer, calls.handleHop);
     const adapters = [
+        createLog(board),
+        createTraces(board),
         createClock(board),
         createPlatformClient(board),
         await createAdmin(board),
-        calls,
         { close: () => closeListener(peerServer) },
+        calls,
     ];
-    return {
-        board,
-        async close() {
-            shutdown.write({ requested: true });
-            await Promise.all(adapters.map(adapter => adapter.close()));
-            controllers.forEach(controller => controller.close());
-            board.close();
-        },
-    };
+
+    async function close(): Promise<void> {
+        shutdown.write({ requested: true });
+        // The calls finish first, while the adapters that they depend on still work.
+        for (const adapter of adapters.toReversed()) {
+            await adapter.close();
+        }
+        controllers.forEach(controller => controller.close());
+        board.close();
+    }
+
+    return { board, shutDown: () => waitForCalls(board, close()), close };
 }
