feat(membership): record order, refutation, failure detection, digest and topology

Hosts need to agree on who is alive and who has which role without a leader. Adds pure functions over host records: a total order by incarnation, leave, counter and state; refutation; suspicion and failure within one failure domain; bounded tombstones; a digest of 64 buckets; rendezvous hashing; roles and neighbours; and the publication rule.

Tombstones stay out of the digest, since hosts forget them at different times; a sender of late live news is answered with the tombstone.

--- /dev/null
+++ b/packages/core/features/steps/membership.ts
@@ -0,0 +1,355 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import {
+    bucketOf,
+    chooseRepairBuckets,
+    chooseTopology,
+    compareRecords,
+    computeDigest,
+    detectFailures,
+    emptyHostTable,
+    expireTombstones,
+    HostState,
+    isPublicationDue,
+    mergeRecords,
+    recordsOfBuckets,
+    refute,
+    rendezvous,
+    tombstoneMs,
+    type Absences,
+    type Detection,
+    type HostRecord,
+    type HostTable,
+    type Merge,
+    type PublicationState,
+    type Topology,
+} from "@tanagertray/core";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+
+interface World {
+    self: HostRecord;
+    heard: HostRecord;
+    refuting: HostRecord | undefined;
+    table: HostTable;
+    otherTable: HostTable;
+    detection: Detection;
+    merge: Merge;
+    topologies: Map<string, Topology>;
+    choices: { before: string[]; after: string[] }[];
+    publication: PublicationState;
+}
+
+const seed = 20_240_611;
+const start = 1_000_000;
+
+function record(host: string, change: Partial<HostRecord> = {}): HostRecord {
+    return {
+        host,
+        failureDomain: host.slice(0, 1),
+        region: "r",
+        incarnation: 100,
+        counter: 1,
+        state: HostState.Alive,
+        peerAddress: `${host}:1`,
+        offers: [],
+        version: 0,
+        ...change,
+    };
+}
+
+When("sets of records of one host are merged in random orders, with repetitions", function () {
+    // The property is checked in the next step.
+});
+
+Then("every order of host records ends with the newest one", function () {
+    const news = fc.record({
+        incarnation: fc.integer({ min: 1, max: 3 }),
+        counter: fc.integer({ min: 0, max: 3 }),
+        state: fc.constantFrom(...Object.values(HostState)),
+    });
+    const orders = fc
+        .array(news, { minLength: 1, maxLength: 12 })
+        .chain(list =>
+            fc.tuple(
+                fc.shuffledSubarray(list, { minLength: list.length }),
+                fc.shuffledSubarray([...list, ...list], { minLength: list.length * 2 }),
+            ),
+        );
+    fc.assert(
+        fc.property(orders, ([first, second]) => {
+            const results = [first, second].map(order =>
+                order.reduce(
+                    (table, change, at) => mergeRecords(table, [record("a1", change)], start + at).table,
+                    emptyHostTable,
+                ),
+            );
+            const [one, two] = results.map(table => table.records.get("a1"));
+            assert.deepEqual(one, two);
+            first.forEach(change => assert.ok(compareRecords(one as HostRecord, record("a1", change)) >= 0));
+        }),
+        { seed, numRuns: 500 },
+    );
+});
+
+Given(
+    "a host record of {string} with incarnation {int} and counter {int}",
+    function (this: World, host: string, incarnation: number, counter: number) {
+        this.self = record(host, { incarnation, counter });
+    },
+);
+
+When("the host hears itself suspected with counter {int}", function (this: World, counter: number) {
+    this.heard = { ...this.self, counter, state: HostState.Suspect };
+    this.refuting = refute(this.self, this.heard);
+});
+
+When("the host hears of its incarnation {int}", function (this: World, incarnation: number) {
+    this.refuting = refute(this.self, { ...this.self, incarnation, counter: 0 });
+});
+
+When("the host leaves and hears itself failed with counter {int}", function (this: World, counter: number) {
+    this.self = { ...this.self, state: HostState.Left };
+    this.refuting = refute(this.self, { ...this.self, counter, state: HostState.Failed });
+});
+
+Then(
+    "its refuting record has incarnation {int} and counter {int}",
+    function (this: World, incarnation: number, counter: number) {
+        assert.deepEqual(this.refuting, { ...this.self, incarnation, counter });
+    },
+);
+
+Then("the refuting record wins against the suspicion", function (this: World) {
+    assert.ok(compareRecords(this.refuting as HostRecord, this.heard) > 0);
+});
+
+Then("there is no refuting record", function (this: World) {
+    assert.equal(this.refuting, undefined);
+});
+
+Then("the left record wins against every record of the same incarnation", function (this: World) {
+    for (const state of [HostState.Alive, HostState.Suspect, HostState.Failed]) {
+        assert.ok(compareRecords(this.self, { ...this.self, state, counter: 1_000 }) > 0);
+    }
+});
+
+Given(
+    "a host table of {string}, {string} and {string} in domain {string}, and {string} in domain {string}",
+    function (this: World, a: string, b: string, c: string, _own: string, d: string, _other: string) {
+        this.table = mergeRecords(
+            emptyHostTable,
+            [a, b, c, d].map(host => record(host)),
+            start,
+        ).table;
+    },
+);
+
+function detect(world: World, neighbours: string[], now: number, absences: Absences): Detection {
+    return detectFailures({
+        self: record("a1"),
+        table: world.table,
+        neighbours,
+        linked: new Set<string>(),
+        absences,
+        now,
+    });
+}
+
+When(
+    "host {string} has had no link to its neighbours {string} and {string} for {int} s",
+    function (this: World, _self: string, one: string, two: string, seconds: number) {
+        const first = detect(this, [one, two], start, new Map());
+        assert.deepEqual(first.records, []);
+        this.detection = detect(this, [one, two], start + seconds * 1_000, first.absences);
+    },
+);
+
+When(
+    "host {string} has had no link to its neighbour {string} for {int} s",
+    function (this: World, _self: string, host: string, seconds: number) {
+        const first = detect(this, [host], start, new Map());
+        this.detection = detect(this, [host], start + seconds * 1_000, first.absences);
+    },
+);
+
+Then("host {string} suspects only {string}", function (this: World, _self: string, host: string) {
+    assert.deepEqual(this.detection.records, [record(host, { state: HostState.Suspect })]);
+});
+
+Then("host {string} suspects nobody", function (this: World, _self: string) {
+    assert.deepEqual(this.detection.records, []);
+});
+
+Then(
+    "after {float} s more nobody has failed, after {float} s more {string} has failed",
+    function (this: World, early: number, late: number, host: string) {
+        this.table = mergeRecords(this.table, this.detection.records, start).table;
+        assert.deepEqual(detect(this, [], start + early * 1_000, new Map()).records, []);
+        const { records } = detect(this, [], start + late * 1_000, new Map());
+        assert.deepEqual(records, [record(host, { state: HostState.Failed })]);
+    },
+);
+
+When(
+    "host {string} refutes a suspicion of {string} while the link stays down",
+    function (this: World, host: string, _suspecting: string) {
+        const first = detect(this, [host], start - 1_000, new Map());
+        this.detection = detect(this, [host], start, first.absences);
+        const refutation = record(host, { counter: 2 });
+        this.table = mergeRecords(this.table, [...this.detection.records, refutation], start).table;
+    },
+);
+
+Then("{string} suspects {string} again only after 10 s", function (this: World, _self: string, host: string) {
+    const early = detect(this, [host], start + 9_999, this.detection.absences);
+    assert.deepEqual(early.records, []);
+    const late = detect(this, [host], start + 10_000, early.absences);
+    assert.deepEqual(late.records, [record(host, { counter: 2, state: HostState.Suspect })]);
+});
+
+When("{int} hosts leave one after the other", function (this: World, count: number) {
+    const gone = Array.from({ length: count }, (_, i) => record(`a${i}`, { state: HostState.Left }));
+    const late = mergeRecords(emptyHostTable, gone.slice(0, count / 2), start).table;
+    this.table = mergeRecords(late, gone.slice(count / 2), start + 1_000).table;
+});
+
+Then("{int} host tombstones remain, and none after 10 minutes", function (this: World, remaining: number) {
+    const bounded = expireTombstones(this.table, start + 2_000);
+    assert.equal(bounded.records.size, remaining);
+    assert.ok(!bounded.records.has("a0"), "the oldest goes first");
+    const later = expireTombstones(bounded, start + 1_000 + tombstoneMs);
+    assert.equal(later.records.size + later.since.size, 0);
+});
+
+When("a failed host is reported alive with an older counter", function (this: World) {
+    const failed = record("a2", { counter: 4, state: HostState.Failed });
+    this.table = mergeRecords(emptyHostTable, [failed], start).table;
+    this.merge = mergeRecords(this.table, [record("a2", { counter: 3 })], start);
+});
+
+Then("the merge corrects the sender and changes nothing", function (this: World) {
+    assert.deepEqual(this.merge.corrections, [this.table.records.get("a2")]);
+    assert.equal(this.merge.table, this.table);
+    assert.deepEqual(this.merge.changed, []);
+});
+
+Given("two host tables of 200 hosts that differ in one host", function (this: World) {
+    const hosts = Array.from({ length: 200 }, (_, i) => record(`a${i}`));
+    this.table = mergeRecords(emptyHostTable, hosts, start).table;
+    this.otherTable = mergeRecords(this.table, [record("a77", { counter: 2 })], start).table;
+});
+
+Then("one bucket of their digests differs and its records include that host", function (this: World) {
+    const [ours, theirs] = [this.table, this.otherTable].map(table => computeDigest(table.records.values()));
+    const buckets = chooseRepairBuckets(ours ?? [], theirs ?? [], () => 0);
+    assert.deepEqual(buckets, [bucketOf("a77")]);
+    const sent = recordsOfBuckets(this.otherTable.records.values(), buckets);
+    assert.ok(sent.some(entry => entry.host === "a77" && entry.counter === 2));
+    assert.ok(sent.length < 20);
+});
+
+Then("a table without hosts is given every bucket", function (this: World) {
+    const ours = computeDigest(this.table.records.values());
+    const buckets = chooseRepairBuckets(ours, computeDigest([]), () => 0);
+    assert.equal(recordsOfBuckets(this.table.records.values(), buckets).length, 200);
+});
+
+Given(
+    "a membership of {int} regions with {int} domains of {int} hosts each",
+    function (this: World, regions: number, domains: number, hosts: number) {
+        const records: HostRecord[] = [];
+        for (let i = 0; i < regions * domains * hosts; i += 1) {
+            const domain = Math.floor(i / hosts);
+            const region = `r${Math.floor(domain / domains)}`;
+            records.push(record(`h${i}`, { failureDomain: `d${domain}`, region }));
+        }
+        this.table = mergeRecords(emptyHostTable, records, start).table;
+        this.topologies = new Map(records.map(entry => [entry.host, chooseTopology(entry, records)]));
+    },
+);
+
+function countBy(world: World, key: "failureDomain" | "region", role: keyof Topology): number[] {
+    const counts = new Map<string, number>();
+    for (const [host, topology] of world.topologies) {
+        const group = world.table.records.get(host)?.[key] ?? "";
+        counts.set(group, (counts.get(group) ?? 0) + Number(topology[role] === true));
+    }
+    return [...new Set(counts.values())];
+}
+
+Then("every domain has 2 head readers and 2 domain relays", function (this: World) {
+    assert.deepEqual(countBy(this, "failureDomain", "headReader"), [2]);
+    assert.deepEqual(countBy(this, "failureDomain", "domainRelay"), [2]);
+});
+
+Then("every region has 2 region relays", function (this: World) {
+    assert.deepEqual(countBy(this, "region", "regionRelay"), [2]);
+});
+
+Then("the links of all hosts connect the whole membership", function (this: World) {
+    const links = new Map<string, string[]>();
+    for (const [host, { neighbours }] of this.topologies) {
+        for (const neighbour of neighbours) {
+            links.set(host, [...(links.get(host) ?? []), neighbour.host]);
+            links.set(neighbour.host, [...(links.get(neighbour.host) ?? []), host]);
+        }
+    }
+    const reached = new Set(["h0"]);
+    for (const host of reached) {
+        links.get(host)?.forEach(other => reached.add(other));
+    }
+    assert.equal(reached.size, this.topologies.size);
+});
+
+Then("a host without a role has at most {int} neighbours", function (this: World, most: number) {
+    for (const topology of this.topologies.values()) {
+        assert.ok(topology.domainRelay || topology.neighbours.length <= most);
+    }
+});
+
+When("one of 50 hosts is lost", function (this: World) {
+    const hosts = Array.from({ length: 50 }, (_, i) => `a${i}`);
+    this.choices = Array.from({ length: 100 }, (_, i) => ({
+        before: rendezvous(`key${i}`, hosts, 2),
+        after: rendezvous(`key${i}`, hosts.slice(1), 2),
+    }));
+});
+
+Then("only the rendezvous choices that named it change", function (this: World) {
+    assert.ok(this.choices.some(({ before }) => before.includes("a0")));
+    for (const { before, after } of this.choices) {
+        const kept = before.filter(host => host !== "a0");
+        assert.deepEqual(after.slice(0, kept.length), kept);
+    }
+});
+
+Given("a publishing host among {int} hosts", function (this: World, hosts: number) {
+    this.publication = {
+        self: record("a1"),
+        statement: { state: HostState.Alive, offers: [], version: 0 },
+        publishedAt: start,
+        hosts,
+        laggingSince: undefined,
+        lagPublished: false,
+        now: start,
+    };
+});
+
+Then("a new version alone is published after {int} s", function (this: World, seconds: number) {
+    const changed = { ...this.publication, statement: { ...this.publication.statement, version: 7 } };
+    assert.equal(isPublicationDue({ ...changed, now: start + seconds * 1_000 - 1 }), false);
+    assert.equal(isPublicationDue({ ...changed, now: start + seconds * 1_000 }), true);
+});
+
+Then("new offers are published at once", function (this: World) {
+    const offers = [{ service: "stock", slots: 12, startedAt: start }];
+    const statement = { ...this.publication.statement, offers };
+    assert.equal(isPublicationDue({ ...this.publication, statement }), true);
+});
+
+Then("a lag of 2 s is published once", function (this: World) {
+    const lagging = { ...this.publication, laggingSince: start };
+    assert.equal(isPublicationDue({ ...lagging, now: start + 1_999 }), false);
+    assert.equal(isPublicationDue({ ...lagging, now: start + 2_000 }), true);
+    assert.equal(isPublicationDue({ ...lagging, now: start + 9_000, lagPublished: true }), false);
+});
--- /dev/null
+++ b/packages/core/src/membership/constants.ts
@@ -0,0 +1,29 @@
+/** Periods and bounds of the membership. Names carry the unit. */
+
+/** Time for a suspected host to refute before it is considered failed. */
+export const refutationMs = 3_000;
+/** Time without a link, after the adapter began to reconnect, before a neighbour is suspected. */
+export const reconnectGraceMs = 1_000;
+/** Least time between two suspicions of one host by the same neighbour, so that a refutation is not undone at once. */
+export const suspicionIntervalMs = 10_000;
+/** Time for which failed and left hosts are remembered, so that late news of them loses. */
+export const tombstoneMs = 600_000;
+/** Most failed and left hosts that are remembered; seven failure domains of the largest planned size. */
+export const maxTombstones = 8_192;
+/** Most host records; twice the planned number of hosts. */
+export const maxHostRecords = 65_536;
+export const digestBuckets = 64;
+/**
+ * Buckets exchanged in one round while most buckets agree. At 30,000 hosts a bucket has about 470 records,
+ * and records in flight make some buckets differ in every round.
+ */
+export const maxRepairBuckets = 2;
+/** Lag behind an announced version after which a host publishes its record. */
+export const lagMs = 2_000;
+/** Least time between two records that tell only of a new version. */
+export const minVersionPublicationMs = 1_000;
+/** Records per second that tell only of a new version, over the whole deployment. */
+export const versionPublicationsPerSecond = 20;
+/** Hosts chosen for each role in a failure domain or region. */
+export const hostsPerRole = 2;
+export const ringSuccessors = 2;
--- /dev/null
+++ b/packages/core/src/membership/digest.ts
@@ -0,0 +1,50 @@
+import { digestBuckets, maxRepairBuckets } from "./constants.js";
+import { hash32 } from "./hash.js";
+import { isLive } from "./order.js";
+import type { HostRecord } from "./record.js";
+
+export function bucketOf(host: string): number {
+    return hash32(host) % digestBuckets;
+}
+
+/**
+ * One hash for each bucket of the live records, independent of their order. Failed and left hosts are left out,
+ * because hosts forget them at different times.
+ */
+export function computeDigest(records: Iterable<HostRecord>): number[] {
+    const buckets = new Array<number>(digestBuckets).fill(0);
+    for (const record of records) {
+        if (isLive(record)) {
+            const { host, incarnation, counter, state } = record;
+            const bucket = bucketOf(host);
+            buckets[bucket] =
+                ((buckets[bucket] ?? 0) ^ hash32(`${host}\n${incarnation}\n${counter}\n${state}`)) >>> 0;
+        }
+    }
+    return buckets;
+}
+
+/**
+ * Buckets to exchange in this round. When more than half differ, one side is joining and gets all of them;
+ * otherwise a few are picked at random.
+ */
+export function chooseRepairBuckets(
+    ours: readonly number[],
+    theirs: readonly number[],
+    random: () => number,
+): number[] {
+    const differing = ours.flatMap((hash, bucket) => (hash === theirs[bucket] ? [] : [bucket]));
+    if (differing.length > digestBuckets / 2) {
+        return differing;
+    }
+    while (differing.length > maxRepairBuckets) {
+        differing.splice(Math.floor(random() * differing.length), 1);
+    }
+    return differing;
+}
+
+/** Live records of the given buckets. */
+export function recordsOfBuckets(records: Iterable<HostRecord>, buckets: readonly number[]): HostRecord[] {
+    const wanted = new Set(buckets);
+    return [...records].filter(record => isLive(record) && wanted.has(bucketOf(record.host)));
+}
--- /dev/null
+++ b/packages/core/src/membership/publication.ts
@@ -0,0 +1,40 @@
+import { lagMs, minVersionPublicationMs, versionPublicationsPerSecond } from "./constants.js";
+import type { HostRecord } from "./record.js";
+
+/** What a host has to say of itself, apart from its identity. */
+export type Statement = Pick<HostRecord, "state" | "offers" | "version" | "rejected">;
+
+export interface PublicationState {
+    readonly self: HostRecord;
+    readonly statement: Statement;
+    readonly publishedAt: number;
+    /** Number of known hosts. */
+    readonly hosts: number;
+    /** Since when the host has held less than the highest announced version. */
+    readonly laggingSince: number | undefined;
+    /** Whether this lag was already published. */
+    readonly lagPublished: boolean;
+    readonly now: number;
+}
+
+/**
+ * Whether the host publishes its record now. Offers, state and rejections go out at once; a mere change of the
+ * held version waits, so that the whole deployment writes a bounded number of such records per second.
+ */
+export function isPublicationDue(state: PublicationState): boolean {
+    const { self, statement, now } = state;
+    const urgent =
+        statement.state !== self.state ||
+        JSON.stringify([statement.offers, statement.rejected]) !==
+            JSON.stringify([self.offers, self.rejected]);
+    const lagging =
+        state.laggingSince !== undefined && !state.lagPublished && now - state.laggingSince >= lagMs;
+    const versionDue =
+        statement.version !== self.version && now - state.publishedAt >= versionPeriodMs(state.hosts);
+    return urgent || lagging || versionDue;
+}
+
+/** Least time between two records of one host that tell only of a new version. */
+export function versionPeriodMs(hosts: number): number {
+    return Math.max(minVersionPublicationMs, (hosts * 1_000) / versionPublicationsPerSecond);
+}
--- /dev/null
+++ b/packages/core/src/membership/topology.ts
@@ -0,0 +1,82 @@
+import { hostsPerRole, ringSuccessors } from "./constants.js";
+import { hash32 } from "./hash.js";
+import { isLive } from "./order.js";
+import type { HostRecord } from "./record.js";
+import { rendezvous } from "./rendezvous.js";
+
+export interface Neighbour {
+    readonly host: string;
+    readonly address: string;
+}
+
+/** Roles that follow from the membership. */
+export interface Topology {
+    readonly headReader: boolean;
+    readonly domainRelay: boolean;
+    readonly regionRelay: boolean;
+    /** Hosts that this host should hold a link to. */
+    readonly neighbours: readonly Neighbour[];
+}
+
+/** Chooses the roles and neighbours of a host. Hosts with the same records agree on every role. */
+export function chooseTopology(self: HostRecord, records: Iterable<HostRecord>): Topology {
+    const live = new Map([...records].filter(isLive).map(record => [record.host, record]));
+    live.set(self.host, self);
+    const domains = groupBy(live.values(), record => record.failureDomain);
+    const regions = groupBy(live.values(), record => record.region);
+    const relaysOf = (domain: string) =>
+        rendezvous(`relay/${domain}`, hostNames(domains.get(domain) ?? []), hostsPerRole);
+    const regionRelaysOf = (region: string) => {
+        const names = new Set((regions.get(region) ?? []).map(record => record.failureDomain));
+        return rendezvous(`region/${region}`, [...names].flatMap(relaysOf), hostsPerRole);
+    };
+    const members = hostNames(domains.get(self.failureDomain) ?? []);
+    const domainRelay = relaysOf(self.failureDomain).includes(self.host);
+    const regionRelay = domainRelay && regionRelaysOf(self.region).includes(self.host);
+    const hosts = new Set(neighboursInDomain(self.host, members));
+    if (domainRelay) {
+        const names = new Set((regions.get(self.region) ?? []).map(record => record.failureDomain));
+        [...names].flatMap(relaysOf).forEach(host => hosts.add(host));
+    }
+    if (regionRelay) {
+        [...regions.keys()].flatMap(regionRelaysOf).forEach(host => hosts.add(host));
+    }
+    hosts.delete(self.host);
+    return {
+        headReader: rendezvous(`head/${self.failureDomain}`, members, hostsPerRole).includes(self.host),
+        domainRelay,
+        regionRelay,
+        neighbours: [...hosts].map(host => ({ host, address: live.get(host)?.peerAddress ?? "" })),
+    };
+}
+
+function neighboursInDomain(self: string, members: readonly string[]): string[] {
+    const ring = members
+        .map(host => ({ host, position: hash32(host) }))
+        .sort((a, b) => a.position - b.position || (a.host < b.host ? -1 : 1))
+        .map(entry => entry.host);
+    const at = ring.indexOf(self);
+    const after = [...ring.slice(at + 1), ...ring.slice(0, at)];
+    const successors = after.slice(0, ringSuccessors);
+    return [...successors, ...rendezvous(`link/${self}`, after.slice(ringSuccessors), 1)];
+}
+
+function hostNames(records: readonly HostRecord[]): string[] {
+    return records.map(record => record.host);
+}
+
+function groupBy(
+    records: Iterable<HostRecord>,
+    key: (record: HostRecord) => string,
+): Map<string, HostRecord[]> {
+    const groups = new Map<string, HostRecord[]>();
+    for (const record of records) {
+        const group = groups.get(key(record));
+        if (group === undefined) {
+            groups.set(key(record), [record]);
+        } else {
+            group.push(record);
+        }
+    }
+    return groups;
+}
