--- /dev/null
+++ b/packages/daemon/src/adapters/peers/peers.ts
@@ -0,0 +1,337 @@
+import {
+    EventLevel,
+    MessageKind,
+    type OutgoingMessage,
+    type PeerMessage,
+    type Problem,
+} from "@tanagertray/core";
+import type { IncomingMessage as UpgradeRequest, Server } from "node:http";
+import type { Duplex } from "node:stream";
+import { WebSocket, WebSocketServer } from "ws";
+import type { Board, PeerLink } from "../../board.js";
+import type { Closeable } from "../../closeable.js";
+import { formatEndpoint } from "../../settings/resolveSettings.js";
+import { encodeFrame } from "./codec.js";
+import {
+    fewLinks,
+    handshakeMs,
+    heartbeatMs,
+    maxLinks,
+    maxMessageBytes,
+    maxPendingHandshakes,
+    peerPath,
+    silenceMs,
+    unwantedLinkMs,
+} from "./constants.js";
+import { backOff, chooseDials, type Attempt } from "./dialing.js";
+import { Role, type Identity } from "./handshake.js";
+import { CloseCode, createLink, LinkPhase, type Link } from "./link.js";
+import { replaces } from "./linkTable.js";
+import { createTrafficCounter } from "./traffic.js";
+
+export interface PeersOptions {
+    /** Listener that receives the upgrade requests of other daemons. */
+    readonly server: Server;
+    /** @default Math.random */
+    readonly random?: () => number;
+}
+
+const socketOptions = { perMessageDeflate: false, maxPayload: maxMessageBytes } as const;
+/** Time for the close frames of all links to be answered, in milliseconds. */
+const closeMs = 500;
+
+/**
+ * Holds the links to other daemons: sends what the outboxes say and writes what arrives.
+ *
+ * @example
+ * ```ts
+ * const peers = createPeers(board, { server: await openListener(endpoint, handler) });
+ * ```
+ */
+export function createPeers(board: Board, options: PeersOptions): Closeable {
+    const context = createContext(board, options);
+    const webSocketServer = new WebSocketServer({ noServer: true, ...socketOptions });
+    const upgrade = (request: UpgradeRequest, socket: Duplex, head: Buffer) => {
+        const refused =
+            request.url !== peerPath ||
+            context.links.size >= maxLinks ||
+            countPending(context) >= maxPendingHandshakes;
+        if (refused) {
+            socket.destroy();
+            return;
+        }
+        webSocketServer.handleUpgrade(request, socket, head, connected => {
+            addLink(context, connected, Role.Acceptor, undefined);
+        });
+    };
+    options.server.on("upgrade", upgrade);
+    const subscriptions = [
+        board.observe(["clock"], () => tick(context)),
+        ...(["membershipOutbox", "configurationOutbox", "joiningOutbox", "callsOutbox"] as const).map(feed =>
+            board.follow(feed, outgoing => send(context, outgoing)),
+        ),
+    ];
+    return {
+        async close() {
+            subscriptions.forEach(subscription => subscription.close());
+            options.server.off("upgrade", upgrade);
+            context.closing = true;
+            await closeLinks(context);
+        },
+    };
+}
+
+type Context = ReturnType<typeof createContext>;
+
+function createContext(board: Board, { random = Math.random }: PeersOptions) {
+    const settings = board.read("settings");
+    const self: Identity = {
+        host: settings.host,
+        failureDomain: settings.failureDomain,
+        region: settings.region,
+        address: formatEndpoint(settings.listen.peer),
+    };
+    return {
+        board,
+        random,
+        self,
+        keys: settings.keys.peer,
+        /** Every connection, also those in their handshake. */
+        connections: new Set<Link>(),
+        /** The one open link to each host. */
+        links: new Map<string, Link>(),
+        attempts: new Map<string, Attempt>() as ReadonlyMap<string, Attempt>,
+        traffic: createTrafficCounter(),
+        heartbeatAt: 0,
+        closing: false,
+        /** Called when the last connection is gone while closing. */
+        emptied: () => {},
+        peerLinks: board.claimValue("peerLinks"),
+        peerTraffic: board.claimValue("peerTraffic"),
+        inbox: board.claimFeed("peerInbox"),
+        events: board.claimFeed("peerEvents"),
+    };
+}
+
+function countPending({ connections }: Context): number {
+    return [...connections].filter(link => link.role === Role.Acceptor && link.phase !== LinkPhase.Open)
+        .length;
+}
+
+function addLink(context: Context, socket: WebSocket, role: Role, dialed: string | undefined): void {
+    const { board, self, keys, traffic } = context;
+    const link = createLink({
+        socket,
+        role,
+        ...(dialed === undefined ? {} : { dialed }),
+        self,
+        keys,
+        now: () => board.read("clock").now,
+        admit: next => admit(context, next),
+        deliver: (from, message, bytes) => deliver(context, from, message, bytes),
+        refused: (from, fault) => noteRefusal(context, from, fault),
+        closed: (closed, before) => forget(context, closed, before),
+        countHandshake: (of, direction, bytes) => {
+            const count = direction === "in" ? traffic.countIn : traffic.countOut;
+            count("handshake", crossesRegion(context, of), bytes);
+        },
+    });
+    context.connections.add(link);
+}
+
+function admit(context: Context, link: Link): boolean {
+    const host = link.peer?.host ?? "";
+    const open = context.links.get(host);
+    if (context.closing || !replaces(link, open, context.self.host)) {
+        return false;
+    }
+    context.links.set(host, link);
+    open?.close(CloseCode.Duplicate);
+    link.heardAt = context.board.read("clock").now;
+    link.openedAt = link.heardAt;
+    writeLinks(context);
+    note(context, "peer.linked", EventLevel.Info, link, {});
+    // The first message tells the dialer that the link is admitted.
+    sendFrame(context, link, MessageKind.Heartbeat, encodeFrame(createHeartbeat(context)));
+    return true;
+}
+
+function deliver(context: Context, link: Link, message: PeerMessage, bytes: number): void {
+    const host = link.peer?.host ?? "";
+    context.traffic.countIn(message.kind, crossesRegion(context, link), bytes);
+    context.inbox.append({ from: host, receivedAt: context.board.read("clock").now, message });
+}
+
+function forget(context: Context, link: Link, before: LinkPhase): void {
+    const { attempts, board, connections, links, random } = context;
+    connections.delete(link);
+    if (connections.size === 0) {
+        context.emptied();
+    }
+    const host = link.peer?.host ?? "";
+    if (links.get(host) === link) {
+        links.delete(host);
+        writeLinks(context);
+        note(context, "peer.unlinked", EventLevel.Info, link, {});
+    }
+    if (link.dialed !== undefined && attempts.has(link.dialed)) {
+        const { now } = board.read("clock");
+        const attempt =
+            before === LinkPhase.Open
+                ? { failures: 0, nextAt: now, inProgress: false }
+                : backOff(attempts.get(link.dialed), now, random);
+        context.attempts = new Map(attempts).set(link.dialed, attempt);
+    }
+}
+
+/** Everything that depends on time: deadlines, heartbeats and new connections. */
+function tick(context: Context): void {
+    const { now, pausedForMs } = context.board.read("clock");
+    for (const link of context.connections) {
+        if (pausedForMs > heartbeatMs) {
+            // Messages that came in during the pause are not read yet.
+            link.heardAt = Math.min(now, link.heardAt + pausedForMs);
+        }
+        closeOverdue(context, link, now);
+    }
+    if (now - context.heartbeatAt >= heartbeatMs) {
+        context.heartbeatAt = now;
+        const frame = encodeFrame(createHeartbeat(context));
+        context.links.forEach(link => sendFrame(context, link, MessageKind.Heartbeat, frame));
+        writeLinks(context);
+        context.peerTraffic.write(context.traffic.total());
+    }
+    dial(context, now);
+}
+
+function closeOverdue(context: Context, link: Link, now: number): void {
+    if (link.phase !== LinkPhase.Open) {
+        if (now - link.startedAt > handshakeMs) {
+            link.terminate();
+        }
+        return;
+    }
+    if (now - link.heardAt > silenceMs) {
+        note(context, "peer.silent", EventLevel.Warn, link, { silentMs: now - link.heardAt });
+        link.terminate();
+    } else if (isUnwanted(context, link, now)) {
+        link.close(CloseCode.Unwanted);
+    }
+}
+
+/** First links to seeds are given up once this host has its neighbours. */
+function isUnwanted({ board, links }: Context, link: Link, now: number): boolean {
+    const wanted = board.read("topology").neighbours.some(({ host }) => host === link.peer?.host);
+    const old = now - link.openedAt > unwantedLinkMs;
+    return link.role === Role.Dialer && old && !wanted && links.size > fewLinks;
+}
+
+function dial(context: Context, now: number): void {
+    const { attempts, board, links, random, self } = context;
+    const choice = chooseDials({
+        neighbours: board.read("topology").neighbours,
+        seeds: [...board.read("settings").peers, ...board.read("domainAddresses")],
+        ownAddress: self.address,
+        linkedHosts: links,
+        linkedAddresses: new Set([...links.values()].map(link => link.peer?.address ?? "")),
+        attempts,
+        now,
+        random,
+    });
+    context.attempts = choice.attempts;
+    for (const address of choice.dial) {
+        connect(context, address, now);
+    }
+}
+
+function connect(context: Context, address: string, now: number): void {
+    try {
+        const url = `ws://${address}${peerPath}`;
+        const socket = new WebSocket(url, { ...socketOptions, handshakeTimeout: handshakeMs });
+        addLink(context, socket, Role.Dialer, address);
+    } catch {
+        // The address does not form a URL.
+        const attempt = backOff(context.attempts.get(address), now, context.random);
+        context.attempts = new Map(context.attempts).set(address, attempt);
+    }
+}
+
+function send(context: Context, { to, message }: OutgoingMessage): void {
+    const targets =
+        "host" in to
+            ? [context.links.get(to.host)].filter(link => link !== undefined)
+            : [...context.links].filter(([host]) => !to.allBut.includes(host)).map(([, link]) => link);
+    if (targets.length === 0) {
+        return;
+    }
+    const frame = encodeFrame(message);
+    if (frame.length > maxMessageBytes) {
+        note(context, "peer.messageTooLarge", EventLevel.Error, undefined, {
+            kind: message.kind,
+            bytes: frame.length,
+        });
+        return;
+    }
+    targets.forEach(link => sendFrame(context, link, message.kind, frame));
+}
+
+function sendFrame(context: Context, link: Link, kind: MessageKind, frame: Buffer): void {
+    if (link.send(frame)) {
+        context.traffic.countOut(kind, crossesRegion(context, link), frame.length);
+    }
+}
+
+function createHeartbeat({ board }: Context): PeerMessage {
+    const held = board.read("configuration").held;
+    return {
+        kind: MessageKind.Heartbeat,
+        version: held?.manifest.version ?? 0,
+        manifestHash: held?.manifestHash ?? "",
+    };
+}
+
+function crossesRegion({ self }: Context, link: Link): boolean {
+    return link.peer !== undefined && link.peer.region !== self.region;
+}
+
+function writeLinks({ links, peerLinks }: Context): void {
+    const open = [...links].flatMap(([host, link]): [string, PeerLink][] =>
+        link.peer === undefined
+            ? []
+            : [[host, { ...link.peer, openedAt: link.openedAt, heardAt: link.heardAt }]],
+    );
+    peerLinks.write(new Map(open));
+}
+
+function noteRefusal(context: Context, link: Link, fault: Problem): void {
+    note(context, "peer.refused", EventLevel.Warn, link, {
+        code: fault.code,
+        message: fault.message,
+        where: fault.where,
+    });
+}
+
+function note(
+    { events }: Context,
+    name: string,
+    level: EventLevel,
+    link: Link | undefined,
+    fields: Record<string, string | number | undefined>,
+): void {
+    const address = link?.dialed ?? link?.peer?.address;
+    events.append({ name, level, fields: { host: link?.peer?.host, address, ...fields } });
+}
+
+async function closeLinks(context: Context): Promise<void> {
+    const { connections } = context;
+    connections.forEach(link => link.close(CloseCode.GoingAway));
+    if (connections.size > 0) {
+        let timer: NodeJS.Timeout | undefined;
+        await new Promise<void>(resolve => {
+            context.emptied = resolve;
+            timer = setTimeout(resolve, closeMs);
+        });
+        clearTimeout(timer);
+    }
+    connections.forEach(link => link.terminate());
+}
--- a/packages/daemon/src/adapters/platform.ts
+++ b/packages/daemon/src/adapters/platform.ts
@@ -52,7 +52,7 @@
     }
 
     const state_ = () => board.read("platformState");
-    const subscriptions = (["headReads", "objectReads", "revisionIo"] as const).map(feed =>
+    const subscriptions = (["headReads", "objectReads", "revisionIo", "domainRowIo"] as const).map(feed =>
         board.follow(feed, command => void carryOut(command)),
     );
     return {
--- a/packages/daemon/src/board.ts
+++ b/packages/daemon/src/board.ts
@@ -17,9 +17,11 @@
     type Readiness,
     type Revision,
     type Span,
+    type Topology,
     type Value,
 } from "@tanagertray/core";
 import type { Either } from "purify-ts/Either";
+import { noTraffic, type PeerTraffic } from "./adapters/peers/traffic.js";
 import type { ResolvedSettings } from "./settings/settings.js";
 
 /** Last tick of the clock. A long gap between two ticks means that the process was paused. */
@@ -47,20 +49,13 @@
     readonly since: number;
 }
 
-/** Roles that follow from the membership. */
-export interface Topology {
-    readonly headReader: boolean;
-    readonly domainRelay: boolean;
-    readonly regionRelay: boolean;
-    /** Hosts that this host should hold a link to. */
-    readonly neighbours: readonly { readonly host: string; readonly address: string }[];
-}
-
 export interface Membership {
     readonly self: HostRecord;
     readonly records: ReadonlyMap<string, HostRecord>;
     /** Highest version that each host was seen to hold. */
     readonly watermarks: ReadonlyMap<string, number>;
+    /** Rises whenever a host joins, goes or moves, but not with other changes of records. */
+    readonly composition: number;
 }
 
 export const RevisionCommandKind = {
@@ -89,10 +84,14 @@
     settings: Value<ResolvedSettings>;
     clock: Value<ClockState>;
     peerLinks: Value<ReadonlyMap<string, PeerLink>>;
+    peerTraffic: Value<PeerTraffic>;
     peerInbox: Feed<IncomingMessage>;
     membership: Value<Membership>;
     membershipOutbox: Feed<OutgoingMessage>;
     topology: Value<Topology>;
+    /** Addresses of the row `domain/<failure domain>`, for the first links. */
+    domainAddresses: Value<readonly string[]>;
+    domainRowIo: Feed<PlatformCommand>;
     platformState: Value<PlatformState>;
     headReads: Feed<PlatformCommand>;
     objectReads: Feed<PlatformCommand>;
@@ -119,6 +118,8 @@
     operatorEvents: Feed<Event>;
 }
 
+export type { PeerTraffic, Topology };
+
 export type Board = Blackboard<Sections>;
 
 /** Undelivered entries of a feed before the oldest is dropped. */
@@ -130,8 +131,15 @@
             settings,
             clock: { now, pausedForMs: 0 },
             peerLinks: new Map(),
-            membership: { self: firstRecord(settings, now), records: new Map(), watermarks: new Map() },
+            peerTraffic: noTraffic,
+            membership: {
+                self: firstRecord(settings, now),
+                records: new Map(),
+                watermarks: new Map(),
+                composition: 0,
+            },
             topology: { headReader: true, domainRelay: false, regionRelay: false, neighbours: [] },
+            domainAddresses: [],
             platformState: { head: undefined, reachable: false, headRead: false, since: now },
             configuration: { held: undefined },
             readiness: { state: ReadinessState.Joining, reason: "starting", floor: 0, since: now },
@@ -141,6 +149,7 @@
         feeds: {
             peerInbox: feedCapacity,
             membershipOutbox: feedCapacity,
+            domainRowIo: feedCapacity,
             headReads: feedCapacity,
             objectReads: feedCapacity,
             revisionIo: feedCapacity,
--- /dev/null
+++ b/packages/daemon/src/controllers/membership.ts
@@ -0,0 +1,357 @@
+import {
+    chooseRepairBuckets,
+    compareRecords,
+    computeDigest,
+    detectFailures,
+    emptyHostTable,
+    EventLevel,
+    expireTombstones,
+    HostState,
+    isLive,
+    isPublicationDue,
+    mergeRecords,
+    MessageKind,
+    recordsOfBuckets,
+    refute,
+    takeNextIncarnation,
+    type Absences,
+    type HostRecord,
+    type IncomingMessage,
+    type OutgoingMessage,
+    type PeerMessage,
+} from "@tanagertray/core";
+import type { Board } from "../board.js";
+import type { Closeable } from "../closeable.js";
+import { createStatement, heldVersion } from "./statement.js";
+
+/** Period of anti-entropy with one random linked host, in milliseconds. */
+const antiEntropyMs = 10_000;
+/** Spread of the first digest after a new link, so that joining herds do not ask at once, in milliseconds. */
+const joinJitterMs = 1_000;
+/** Gap in the clock after which the silence of others proves nothing, in milliseconds. */
+const pauseMs = 3_000;
+/** Most records in one message; at about 150 bytes each, one message takes 150 KB. */
+const recordsPerMessage = 1_000;
+/** Received records that wait for the next tick; anti-entropy repairs what is dropped. */
+const maxPendingRecords = 65_536;
+
+export interface MembershipOptions {
+    /** @default Math.random */
+    readonly random?: () => number;
+}
+
+/** Keeps the host records: publishes the own one, merges those of others and detects failures. */
+export function createMembership(board: Board, options: MembershipOptions = {}): Closeable {
+    const context = createContext(board, options);
+    const subscriptions = [
+        board.follow("peerInbox", incoming =>
+            inboxHandlers[incoming.message.kind]?.(context, incoming as never),
+        ),
+        board.observe(["peerLinks"], () => greetNewLinks(context)),
+        board.observe(["clock"], () => tick(context)),
+        // A host that leaves says so at once; its adapters close soon.
+        board.observe(["shutdown"], () => publishIfDue(context)),
+    ];
+    return { close: () => subscriptions.forEach(subscription => subscription.close()) };
+}
+
+type Context = ReturnType<typeof createContext>;
+
+function createContext(board: Board, { random = Math.random }: MembershipOptions) {
+    const { now } = board.read("clock");
+    return {
+        board,
+        random,
+        membership: board.claimValue("membership"),
+        outbox: board.claimFeed("membershipOutbox"),
+        events: board.claimFeed("membershipEvents"),
+        table: emptyHostTable,
+        absences: new Map() as Absences,
+        /** Received records by sender, until the next tick. */
+        pending: new Map<string, HostRecord[]>(),
+        pendingCount: 0,
+        watermarks: new Map<string, number>(),
+        watermarksChanged: false,
+        greeted: new Set<string>(),
+        publishedAt: now,
+        announcedVersion: 0,
+        laggingSince: undefined as number | undefined,
+        lagPublished: false,
+        nextDigestAt: now + antiEntropyMs,
+    };
+}
+
+type InboxHandler<K extends MessageKind> = (
+    context: Context,
+    incoming: IncomingMessage & { message: Extract<PeerMessage, { kind: K }> },
+) => void;
+
+/** Other kinds of message belong to other controllers. */
+const inboxHandlers: { [K in MessageKind]?: InboxHandler<K> } = {
+    [MessageKind.Records]: takeRecords,
+    [MessageKind.Digest]: answerDigest,
+    [MessageKind.RecordRequest]: (context, { from, message }) => sendBuckets(context, from, message.buckets),
+    [MessageKind.Heartbeat]: (context, { from, message }) => {
+        raiseWatermark(context, from, message.version);
+        noteAnnounced(context, message.version);
+    },
+    [MessageKind.Announce]: (context, { message }) => noteAnnounced(context, message.version),
+    [MessageKind.WatermarkRequest]: answerWatermarkRequest,
+    [MessageKind.Watermark]: (context, { message }) => {
+        const self = ownRecord(context);
+        if (message.host === self.host && message.incarnation > self.incarnation) {
+            publish(context, takeNextIncarnation(self, message.incarnation));
+        }
+    },
+};
+
+function takeRecords(context: Context, { from, message }: Parameters<InboxHandler<"records">>[1]): void {
+    const waiting = context.pending.get(from) ?? [];
+    const records = message.records.slice(0, maxPendingRecords - context.pendingCount);
+    waiting.push(...records);
+    context.pendingCount += records.length;
+    context.pending.set(from, waiting);
+}
+
+function answerDigest(context: Context, { from, message }: Parameters<InboxHandler<"digest">>[1]): void {
+    const buckets = chooseRepairBuckets(computeDigest(allRecords(context)), message.buckets, context.random);
+    if (buckets.length > 0) {
+        sendBuckets(context, from, buckets);
+        send(context, { to: { host: from }, message: { kind: MessageKind.RecordRequest, buckets } });
+    }
+}
+
+function answerWatermarkRequest(
+    context: Context,
+    { from, message: { host } }: Parameters<InboxHandler<"watermarkRequest">>[1],
+): void {
+    const message: PeerMessage = {
+        kind: MessageKind.Watermark,
+        host,
+        version: context.watermarks.get(host) ?? 0,
+        incarnation: context.table.records.get(host)?.incarnation ?? 0,
+        held: heldVersion(context.board),
+    };
+    send(context, { to: { host: from }, message });
+}
+
+function sendBuckets(context: Context, host: string, buckets: readonly number[]): void {
+    sendRecords(context, { host }, recordsOfBuckets(allRecords(context), buckets));
+}
+
+/** A new link gets the own record at once, and one of the links gets a digest after a jitter. */
+function greetNewLinks(context: Context): void {
+    const { board, greeted, random } = context;
+    const links = board.read("peerLinks");
+    const added = [...links.keys()].filter(host => !greeted.has(host));
+    context.greeted = new Set(links.keys());
+    added.forEach(host => sendRecords(context, { host }, [ownRecord(context)]));
+    if (added.length > 0) {
+        const { now } = board.read("clock");
+        context.nextDigestAt = Math.min(context.nextDigestAt, now + random() * joinJitterMs);
+    }
+}
+
+function tick(context: Context): void {
+    const { now, pausedForMs } = context.board.read("clock");
+    if (pausedForMs > pauseMs) {
+        forgetSilence(context, now);
+    }
+    const before = context.table;
+    mergePending(context, now);
+    detect(context, now);
+    context.table = expireTombstones(context.table, now);
+    if (context.table !== before || context.watermarksChanged) {
+        writeMembership(context, before.records);
+    }
+    publishIfDue(context);
+    if (now >= context.nextDigestAt) {
+        context.nextDigestAt = now + antiEntropyMs;
+        sendDigest(context);
+    }
+}
+
+/** After a pause, refutations and links may have come and gone unseen: every wait starts anew. */
+function forgetSilence(context: Context, now: number): void {
+    const { records, since } = context.table;
+    context.absences = new Map();
+    const suspects = [...since].map(([host, at]): [string, number] => [
+        host,
+        records.get(host)?.state === HostState.Suspect ? now : at,
+    ]);
+    context.table = { records, since: new Map(suspects) };
+}
+
+function mergePending(context: Context, now: number): void {
+    const pending = context.pending;
+    context.pending = new Map();
+    context.pendingCount = 0;
+    for (const [from, records] of pending) {
+        const self = ownRecord(context);
+        const ofSelf = records.filter(record => record.host === self.host);
+        const heard = ofSelf.reduce<HostRecord | undefined>(newer, undefined);
+        const refutation = heard === undefined ? undefined : refute(self, heard);
+        if (refutation !== undefined) {
+            note(context, "membership.refuted", EventLevel.Warn, { state: heard?.state, from });
+            publish(context, refutation);
+        }
+        const others = records.filter(record => record.host !== self.host);
+        const { changed, corrections } = merge(context, others, now);
+        sendRecords(context, { allBut: [from] }, changed);
+        sendRecords(context, { host: from }, corrections);
+    }
+}
+
+function newer(known: HostRecord | undefined, record: HostRecord): HostRecord {
+    return known === undefined || compareRecords(record, known) > 0 ? record : known;
+}
+
+function merge(context: Context, records: readonly HostRecord[], now: number) {
+    const before = context.table.records;
+    const result = mergeRecords(context.table, records, now);
+    context.table = result.table;
+    for (const record of result.changed) {
+        raiseWatermark(context, record.host, record.version);
+        const was = before.get(record.host)?.state;
+        if (was !== record.state) {
+            const { host, state, incarnation, counter } = record;
+            note(context, "membership.state", EventLevel.Info, { host, was, state, incarnation, counter });
+        }
+    }
+    if (result.dropped > 0) {
+        note(context, "membership.tableFull", EventLevel.Error, { dropped: result.dropped });
+    }
+    return result;
+}
+
+function detect(context: Context, now: number): void {
+    const { board } = context;
+    const self = ownRecord(context);
+    if (self.state === HostState.Left) {
+        return;
+    }
+    const { records, absences } = detectFailures({
+        self,
+        table: context.table,
+        neighbours: board.read("topology").neighbours.map(({ host }) => host),
+        linked: board.read("peerLinks"),
+        absences: context.absences,
+        now,
+    });
+    context.absences = absences;
+    const { changed } = merge(context, records, now);
+    sendRecords(context, { allBut: [] }, changed);
+}
+
+function publishIfDue(context: Context): void {
+    const { board } = context;
+    const { now } = board.read("clock");
+    const self = ownRecord(context);
+    const statement = createStatement(context.board);
+    const lagging = context.announcedVersion > statement.version;
+    context.laggingSince = lagging ? (context.laggingSince ?? now) : undefined;
+    context.lagPublished &&= lagging;
+    const { laggingSince, lagPublished, publishedAt } = context;
+    const hosts = context.table.records.size + 1;
+    if (isPublicationDue({ self, statement, publishedAt, hosts, laggingSince, lagPublished, now })) {
+        context.lagPublished = lagging;
+        publish(context, { ...self, counter: self.counter + 1 });
+    }
+}
+
+/** Sends the record with whatever the host has to say now. */
+function publish(context: Context, record: HostRecord): void {
+    context.publishedAt = context.board.read("clock").now;
+    const { host, failureDomain, region, incarnation, counter, peerAddress } = record;
+    const identity = { host, failureDomain, region, incarnation, counter, peerAddress };
+    const self = { ...identity, ...createStatement(context.board) };
+    context.membership.update(before => ({ ...before, self }));
+    sendRecords(context, { allBut: [] }, [self]);
+}
+
+function sendDigest(context: Context): void {
+    const hosts = [...context.board.read("peerLinks").keys()];
+    const host = hosts[Math.floor(context.random() * hosts.length)];
+    if (host !== undefined) {
+        const buckets = computeDigest(allRecords(context));
+        send(context, { to: { host }, message: { kind: MessageKind.Digest, buckets } });
+    }
+}
+
+function sendRecords(context: Context, to: OutgoingMessage["to"], records: readonly HostRecord[]): void {
+    for (let at = 0; at < records.length; at += recordsPerMessage) {
+        const part = records.slice(at, at + recordsPerMessage);
+        send(context, { to, message: { kind: MessageKind.Records, records: part } });
+    }
+}
+
+function send({ outbox }: Context, outgoing: OutgoingMessage): void {
+    outbox.append(outgoing);
+}
+
+function writeMembership(context: Context, before: ReadonlyMap<string, HostRecord>): void {
+    const { records } = context.table;
+    const moved = hasMoved(before, records);
+    const watermarks = context.watermarksChanged
+        ? keepKnownHosts(context)
+        : context.board.read("membership").watermarks;
+    context.watermarksChanged = false;
+    context.membership.update(before => ({
+        self: before.self,
+        records,
+        watermarks,
+        composition: before.composition + (moved ? 1 : 0),
+    }));
+}
+
+/** Watermarks are kept as long as the tombstone of their host. */
+function keepKnownHosts({ board, table, watermarks }: Context): ReadonlyMap<string, number> {
+    const linked = board.read("peerLinks");
+    for (const host of watermarks.keys()) {
+        if (!table.records.has(host) && !linked.has(host)) {
+            watermarks.delete(host);
+        }
+    }
+    return new Map(watermarks);
+}
+
+/** Whether roles or neighbours may have changed. */
+function hasMoved(before: ReadonlyMap<string, HostRecord>, after: ReadonlyMap<string, HostRecord>): boolean {
+    const place = (record: HostRecord | undefined) =>
+        record !== undefined && isLive(record)
+            ? `${record.failureDomain}\n${record.region}\n${record.peerAddress}`
+            : "";
+    const changed = ([host, record]: [string, HostRecord]) => {
+        const known = before.get(host);
+        return known !== record && place(known) !== place(record);
+    };
+    return [...after].some(changed);
+}
+
+function raiseWatermark(context: Context, host: string, version: number): void {
+    if (version > (context.watermarks.get(host) ?? 0)) {
+        context.watermarks.set(host, version);
+        context.watermarksChanged = true;
+    }
+}
+
+function noteAnnounced(context: Context, version: number): void {
+    context.announcedVersion = Math.max(context.announcedVersion, version);
+}
+
+function ownRecord({ board }: Context): HostRecord {
+    return board.read("membership").self;
+}
+
+function allRecords(context: Context): HostRecord[] {
+    return [ownRecord(context), ...context.table.records.values()];
+}
+
+function note(
+    { events }: Context,
+    name: string,
+    level: EventLevel,
+    fields: Record<string, string | number | undefined>,
+): void {
+    events.append({ name, level, fields });
+}
