test(peers): links, decoding and membership between daemons on loopback

The clock is simulated, so that limits of seconds take milliseconds.

The tests found two faults, fixed here: byte strings decoded to Buffer or Uint8Array depending on the frame, and the hello of a cross-region link was counted as traffic within the region.

--- /dev/null
+++ b/packages/daemon/features/steps/links.ts
@@ -0,0 +1,300 @@
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { MessageKind, ProblemCode } from "@tanagertray/core";
+import { encodeFrame } from "@tanagertray/daemon/adapters/peers/codec";
+import { peerPath } from "@tanagertray/daemon/adapters/peers/constants";
+import {
+    createNonce,
+    HandshakeKind,
+    prove,
+    Role,
+    verify,
+    type Challenge,
+    type Identity,
+    type Transcript,
+} from "@tanagertray/daemon/adapters/peers/handshake";
+import { unpack } from "msgpackr";
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect, createServer, type Server, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { WebSocket } from "ws";
+import { samples } from "./sampleMessages.js";
+import {
+    addressOf,
+    listenOnLoopback,
+    runFor,
+    runUntil,
+    startTestDaemon,
+    type TestDaemon,
+} from "./testDaemon.js";
+
+interface World {
+    linkDaemons?: TestDaemon[];
+    relay?: Relay;
+    bare?: WebSocket;
+    transcript: Transcript;
+}
+
+After(async function (this: World) {
+    this.bare?.terminate();
+    this.relay?.close();
+    await Promise.all((this.linkDaemons ?? []).map(daemon => daemon.close()));
+});
+
+/** Forwards connections, and can stop forwarding on the open ones while new ones work. */
+interface Relay {
+    readonly address: string;
+    silence(): void;
+    close(): void;
+}
+
+async function startRelay(target: string): Promise<Relay> {
+    const [address = "", port] = target.split(":");
+    const sockets: Socket[] = [];
+    const server = createServer(inner => {
+        const outer = connect(Number(port), address);
+        [inner, outer].forEach(socket => socket.on("error", () => undefined));
+        inner.pipe(outer).pipe(inner);
+        sockets.push(inner, outer);
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return {
+        address: addressOf(server as Server as never),
+        silence: () => sockets.splice(0).forEach(socket => socket.unpipe().pause()),
+        close() {
+            sockets.forEach(socket => socket.destroy());
+            server.close();
+        },
+    };
+}
+
+function daemons(world: World): TestDaemon[] {
+    return world.linkDaemons ?? [];
+}
+
+function isLinked({ board }: TestDaemon): boolean {
+    return board.read("peerLinks").size === 1;
+}
+
+async function startPair(
+    world: World,
+    hosts: readonly [string, string],
+    options: { keys?: readonly string[][]; regions?: readonly string[]; throughRelay?: boolean } = {},
+): Promise<void> {
+    const servers = [await listenOnLoopback(), await listenOnLoopback()] as const;
+    const addresses = servers.map(addressOf);
+    if (options.throughRelay === true) {
+        world.relay = await startRelay(addresses[1] ?? "");
+        addresses[1] = world.relay.address;
+    }
+    world.linkDaemons = await Promise.all(
+        hosts.map((host, at) =>
+            startTestDaemon({
+                host,
+                keys: options.keys?.[at] ?? ["key"],
+                region: options.regions?.[at] ?? "r1",
+                peers: [addresses[1 - at] ?? ""],
+                server: servers[at] as never,
+            }),
+        ),
+    );
+}
+
+Given("linked daemons {string} and {string} that both know the other", async function (this: World, a, b) {
+    await startPair(this, [String(a), String(b)], { throughRelay: true });
+});
+
+Given(
+    "a peer adapter {string} with keys {string} and a peer adapter {string} with keys {string}",
+    async function (this: World, a: string, keysA: string, b: string, keysB: string) {
+        await startPair(this, [a, b], { keys: [keysA.split(","), keysB.split(",")] });
+    },
+);
+
+Given(
+    "daemons {string} and {string} of different regions that know each other",
+    async function (this: World, a: string, b: string) {
+        await startPair(this, [a, b], { regions: ["r1", "r2"] });
+    },
+);
+
+When("both peer adapters have run until they are linked", async function (this: World) {
+    await runUntil(daemons(this), 5_000, () => daemons(this).every(isLinked));
+    // Leaves time for a second connection, if there is one, to be settled.
+    await runFor(daemons(this), 1_000);
+});
+
+When("the two peer adapters have run for {int} ms", async function (this: World, ms: number) {
+    await runFor(daemons(this), ms);
+});
+
+Then(
+    "each peer adapter has exactly one connection, dialed by {string}",
+    async function (this: World, dialer: string) {
+        for (const { host, board, server } of daemons(this)) {
+            const accepted = await new Promise<number>(resolve =>
+                server.getConnections((_error, count) => resolve(count)),
+            );
+            assert.equal(board.read("peerLinks").size, 1);
+            assert.equal(accepted, host === dialer ? 0 : 1, `connections accepted by ${host}`);
+        }
+    },
+);
+
+Then("no peer link is open and an {string} refusal is noted", function (this: World, code: string) {
+    daemons(this).forEach(({ board }) => assert.equal(board.read("peerLinks").size, 0));
+    const refusals = daemons(this).flatMap(({ events }) =>
+        events.filter(({ name }) => name === "peer.refused"),
+    );
+    assert.ok(refusals.length > 0);
+    refusals.forEach(({ fields }) => assert.equal(fields["code"], code));
+});
+
+const identity = (host: string): Identity => ({
+    host,
+    failureDomain: "a",
+    region: "r1",
+    address: "127.0.0.1:1",
+});
+
+Given("a handshake transcript of two hosts", function (this: World) {
+    this.transcript = {
+        dialer: identity("a1"),
+        dialerNonce: "one",
+        acceptor: identity("a2"),
+        acceptorNonce: "two",
+    };
+});
+
+Then("a proof of the transcript verifies for its own role only", function (this: World) {
+    const proof = prove(["key"], Role.Dialer, this.transcript);
+    assert.ok(verify(["other", "key"], Role.Dialer, this.transcript, proof).isRight());
+    assert.ok(verify(["key"], Role.Acceptor, this.transcript, proof).isLeft());
+    assert.ok(verify(["other"], Role.Dialer, this.transcript, proof).isLeft());
+    assert.ok(verify([], Role.Dialer, this.transcript, proof).isLeft());
+    assert.ok(verify([""], Role.Dialer, this.transcript, prove([], Role.Dialer, this.transcript)).isLeft());
+    assert.ok(verify(["key"], Role.Dialer, this.transcript, "").isLeft());
+});
+
+Then("a change of any nonce or identity voids the proof", function (this: World) {
+    const proof = prove(["key"], Role.Dialer, this.transcript);
+    const changes: Partial<Transcript>[] = [
+        { dialerNonce: "x" },
+        { acceptorNonce: "x" },
+        { dialer: identity("a3") },
+        { acceptor: identity("a3") },
+        { dialer: { ...identity("a1"), region: "r2" } },
+        { acceptor: { ...identity("a2"), address: "127.0.0.1:2" } },
+    ];
+    for (const change of changes) {
+        assert.ok(verify(["key"], Role.Dialer, { ...this.transcript, ...change }, proof).isLeft());
+    }
+});
+
+When("the peer link between them goes silent while new connections work", function (this: World) {
+    this.relay?.silence();
+});
+
+Then("the silent link is closed after 3 s and a new one is opened", async function (this: World) {
+    const before = daemons(this).map(({ board }) => [...board.read("peerLinks").values()][0]?.openedAt ?? 0);
+    await runFor(daemons(this), 2_500);
+    daemons(this).forEach(daemon => assert.ok(isLinked(daemon), "still within the limit"));
+    await runUntil(daemons(this), 3_000, () =>
+        daemons(this).every(({ board }, at) => {
+            const link = [...board.read("peerLinks").values()][0];
+            return link !== undefined && link.openedAt > (before[at] ?? 0);
+        }),
+    );
+    assert.ok(daemons(this).some(({ events }) => events.some(({ name }) => name === "peer.silent")));
+});
+
+Given(
+    "a peer adapter {string} and a bare authenticated connection to it",
+    async function (this: World, host: string) {
+        const daemon = await startTestDaemon({ host });
+        this.linkDaemons = [daemon];
+        const bare = new WebSocket(`ws://${daemon.address}${peerPath}`);
+        this.bare = bare;
+        bare.on("error", () => undefined);
+        await once(bare, "open");
+        const self = identity("z9");
+        const nonce = createNonce();
+        bare.send(encodeFrame({ kind: HandshakeKind.Hello, identity: self, nonce }));
+        const [frame] = (await once(bare, "message")) as [Buffer];
+        const challenge = unpack(frame) as Challenge;
+        const transcript = {
+            dialer: self,
+            dialerNonce: nonce,
+            acceptor: challenge.identity,
+            acceptorNonce: challenge.nonce,
+        };
+        const proof = prove(["key"], Role.Dialer, transcript);
+        bare.send(encodeFrame({ kind: HandshakeKind.Proof, proof }));
+        await once(bare, "message");
+        assert.ok(isLinked(daemon));
+    },
+);
+
+When("the bare connection sends {int} malformed messages", async function (this: World, count: number) {
+    for (let i = 0; i < count; i += 1) {
+        this.bare?.send(encodeFrame({ kind: "gossip" }));
+    }
+    await sleep(50);
+});
+
+Then("the bare connection stays open", function (this: World) {
+    assert.equal(this.bare?.readyState, WebSocket.OPEN);
+});
+
+Then("the bare connection is closed", function (this: World) {
+    assert.equal(this.bare?.readyState, WebSocket.CLOSED);
+    daemons(this).forEach(({ board }) => assert.equal(board.read("peerLinks").size, 0));
+});
+
+const mebibyte = 1_024 * 1_024;
+
+When(
+    "the bare connection stops reading while {int} MiB are sent to it",
+    async function (this: World, count: number) {
+        this.bare?.pause();
+        const outbox = daemons(this)[0]?.board.claimFeed("configurationOutbox");
+        const parts = [{ hash: "abc", bytes: new Uint8Array(mebibyte) }];
+        for (let i = 0; i < count; i += 1) {
+            const message = { kind: MessageKind.Parts, parts, missing: [] };
+            outbox?.append({ to: { allBut: [] }, message });
+            await sleep(1);
+        }
+        await sleep(50);
+    },
+);
+
+Then(
+    "the peer adapter closed the slow link with at most {int} MiB sent",
+    async function (this: World, most: number) {
+        const [daemon] = daemons(this) as [TestDaemon];
+        assert.equal(daemon.board.read("peerLinks").size, 0);
+        assert.ok(daemon.events.some(({ fields }) => fields["code"] === ProblemCode.Overloaded));
+        await runFor([daemon], 1_000);
+        const sent = daemon.board.read("peerTraffic").sameRegion.get(MessageKind.Parts)?.bytesOut ?? 0;
+        assert.ok(sent > 0 && sent <= most * mebibyte, `${sent} bytes sent`);
+    },
+);
+
+When("{string} sends a digest to every peer", async function (this: World, host: string) {
+    const daemon = daemons(this).find(entry => entry.host === host);
+    daemon?.board.claimFeed("membershipOutbox").append({ to: { allBut: [] }, message: samples.digest });
+    await runFor(daemons(this), 1_500);
+});
+
+Then(
+    "the digest bytes out of {string} equal those into {string}, as cross-region traffic",
+    function (this: World, _sender: string, _receiver: string) {
+        const [sender, receiver] = daemons(this) as [TestDaemon, TestDaemon];
+        const bytes = encodeFrame(samples.digest).length;
+        const out = sender.board.read("peerTraffic");
+        const into = receiver.board.read("peerTraffic");
+        assert.equal(out.crossRegion.get(MessageKind.Digest)?.bytesOut, bytes);
+        assert.equal(into.crossRegion.get(MessageKind.Digest)?.bytesIn, bytes);
+        assert.equal(out.sameRegion.size, 0);
+    },
+);
--- /dev/null
+++ b/packages/daemon/features/steps/testDaemon.ts
@@ -0,0 +1,100 @@
+import { createBoard, resolveSettings, type Board, type Closeable } from "@tanagertray/daemon";
+import { createPeers } from "@tanagertray/daemon/adapters/peers/peers";
+import { createMembership } from "@tanagertray/daemon/controllers/membership";
+import { createTopology } from "@tanagertray/daemon/controllers/topology";
+import assert from "node:assert/strict";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+
+/** A board with the peer adapter on a port of its own, and a clock that the test drives. */
+export interface TestDaemon {
+    readonly host: string;
+    readonly address: string;
+    readonly board: Board;
+    readonly server: Server;
+    readonly events: { name: string; fields: Record<string, unknown> }[];
+    tick(ms: number): void;
+    close(): Promise<void>;
+}
+
+export interface TestDaemonOptions {
+    readonly host: string;
+    readonly region?: string;
+    readonly keys?: readonly string[];
+    readonly peers?: readonly string[];
+    readonly server?: Server;
+    readonly membership?: boolean;
+}
+
+/** Opens a loopback listener on a free port. */
+export async function listenOnLoopback(): Promise<Server> {
+    const server = createServer((_request, response) => response.writeHead(404).end());
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return server;
+}
+
+export function addressOf(server: Server): string {
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+export async function startTestDaemon(options: TestDaemonOptions): Promise<TestDaemon> {
+    const server = options.server ?? (await listenOnLoopback());
+    const address = addressOf(server);
+    const settings = resolveSettings({
+        host: options.host,
+        failureDomain: options.host.slice(0, 1),
+        region: options.region ?? "r1",
+        listen: { calls: "127.0.0.1:1", peer: address, admin: "127.0.0.1:1" },
+        platform: { url: "http://127.0.0.1:1" },
+        peers: [...(options.peers ?? [])],
+        keys: { operator: [], backendServer: [], peer: [...(options.keys ?? ["key"])] },
+    });
+    const start = 1_000_000;
+    const board = createBoard(settings, start);
+    const clock = board.claimValue("clock");
+    const events: TestDaemon["events"] = [];
+    board.follow("peerEvents", event => events.push(event));
+    const parts: Closeable[] = options.membership
+        ? [createMembership(board, { random: () => 0 }), createTopology(board)]
+        : [];
+    const peers = createPeers(board, { server, random: () => 0 });
+    return {
+        host: options.host,
+        address,
+        board,
+        server,
+        events,
+        tick: ms => clock.write({ now: board.read("clock").now + ms, pausedForMs: 0 }),
+        async close() {
+            await peers.close();
+            parts.forEach(part => part.close());
+            board.close();
+            server.closeAllConnections();
+            await new Promise(resolve => server.close(resolve));
+        },
+    };
+}
+
+/** Simulated time per turn, and real time for the sockets in between. */
+const turnMs = 100;
+const realTurnMs = 3;
+
+/** Advances all clocks together until the condition holds; fails after the given simulated time. */
+export async function runUntil(
+    daemons: readonly TestDaemon[],
+    limitMs: number,
+    condition: () => boolean,
+): Promise<void> {
+    for (let elapsed = 0; elapsed < limitMs && !condition(); elapsed += turnMs) {
+        daemons.forEach(daemon => daemon.tick(turnMs));
+        await sleep(realTurnMs);
+    }
+    assert.ok(condition(), `condition not met within ${limitMs} ms of simulated time`);
+}
+
+/** Advances all clocks together by the given simulated time. */
+export async function runFor(daemons: readonly TestDaemon[], ms: number): Promise<void> {
+    let elapsed = 0;
+    await runUntil(daemons, ms + turnMs, () => (elapsed += turnMs) > ms);
+}
--- a/packages/daemon/src/adapters/peers/codec.ts
+++ b/packages/daemon/src/adapters/peers/codec.ts
@@ -26,7 +26,9 @@
         return Left(malformed(`${frame.length} bytes exceed ${maxBytes}`));
     }
     // The library throws on a truncated frame, and a RangeError on deep nesting or a huge declared length.
-    return Either.encase(() => packr.unpack(frame) as unknown).mapLeft(error => malformed(error.message));
+    // A plain view makes byte strings decode to `Uint8Array` rather than `Buffer`.
+    const view = new Uint8Array(frame.buffer, frame.byteOffset, frame.byteLength);
+    return Either.encase(() => packr.unpack(view) as unknown).mapLeft(error => malformed(error.message));
 }
 
 /**
--- a/packages/daemon/src/adapters/peers/link.ts
+++ b/packages/daemon/src/adapters/peers/link.ts
@@ -53,6 +53,11 @@
     terminate(): void;
 }
 
+export interface HandshakeFrame {
+    readonly incoming: boolean;
+    readonly bytes: number;
+}
+
 export interface LinkOptions {
     readonly socket: WebSocket;
     readonly role: Role;
@@ -65,13 +70,16 @@
     readonly deliver: (link: Link, message: PeerMessage, bytes: number) => void;
     readonly refused: (link: Link, fault: Problem) => void;
     readonly closed: (link: Link, before: LinkPhase) => void;
-    readonly countHandshake: (link: Link, direction: "in" | "out", bytes: number) => void;
+    /** Told once of each handshake, when it is over and the region of the peer is known if it ever will be. */
+    readonly countHandshake: (link: Link, frames: readonly HandshakeFrame[]) => void;
 }
 
 interface LinkContext {
     readonly options: LinkOptions;
     readonly link: Link;
     readonly nonce: string;
+    /** Frames of the handshake that are not counted yet. */
+    readonly frames: HandshakeFrame[];
     transcript: Transcript | undefined;
     malformed: number;
 }
@@ -102,7 +110,14 @@
         close: code => socket.close(code),
         terminate: () => socket.terminate(),
     };
-    const context: LinkContext = { options, link, nonce: createNonce(), transcript: undefined, malformed: 0 };
+    const context: LinkContext = {
+        options,
+        link,
+        nonce: createNonce(),
+        frames: [],
+        transcript: undefined,
+        malformed: 0,
+    };
     socket.on("open", () => {
         sendHandshake(context, { kind: HandshakeKind.Hello, identity: options.self, nonce: context.nonce });
     });
@@ -115,6 +130,7 @@
     socket.on("close", () => {
         const before = link.phase;
         link.phase = LinkPhase.Closed;
+        options.countHandshake(link, context.frames.splice(0));
         options.closed(link, before);
     });
     return link;
@@ -133,7 +149,7 @@
 
 function takeHello(context: LinkContext, frame: Buffer): void {
     const { options, link, nonce } = context;
-    options.countHandshake(link, "in", frame.length);
+    context.frames.push({ incoming: true, bytes: frame.length });
     decodeHandshake(frame, HandshakeKind.Hello).caseOf({
         Left: fault => refuse(context, fault),
         Right: hello => {
@@ -154,7 +170,7 @@
 
 function takeChallenge(context: LinkContext, frame: Buffer): void {
     const { options, link, nonce } = context;
-    options.countHandshake(link, "in", frame.length);
+    context.frames.push({ incoming: true, bytes: frame.length });
     decodeHandshake(frame, HandshakeKind.Challenge)
         .chain(challenge => {
             const transcript = {
@@ -177,8 +193,8 @@
 }
 
 function takeProof(context: LinkContext, frame: Buffer): void {
-    const { options, link, transcript } = context;
-    options.countHandshake(link, "in", frame.length);
+    const { options, transcript } = context;
+    context.frames.push({ incoming: true, bytes: frame.length });
     decodeHandshake(frame, HandshakeKind.Proof)
         .chain(({ proof }) => verify(options.keys, Role.Dialer, transcript as Transcript, proof))
         .caseOf({
@@ -203,7 +219,8 @@
     });
 }
 
-function open({ options, link }: LinkContext): void {
+function open({ options, link, frames }: LinkContext): void {
+    options.countHandshake(link, frames.splice(0));
     if (link.peer?.host === options.self.host || !options.admit(link)) {
         link.close(CloseCode.Duplicate);
         return;
@@ -227,8 +244,8 @@
     link.phase = LinkPhase.Closed;
 }
 
-function sendHandshake({ options, link }: LinkContext, message: HandshakeMessage): void {
+function sendHandshake({ frames, link }: LinkContext, message: HandshakeMessage): void {
     const frame = encodeFrame(message);
-    options.countHandshake(link, "out", frame.length);
+    frames.push({ incoming: false, bytes: frame.length });
     link.send(frame);
 }
--- a/packages/daemon/src/adapters/peers/peers.ts
+++ b/packages/daemon/src/adapters/peers/peers.ts
@@ -131,10 +131,11 @@
         deliver: (from, message, bytes) => deliver(context, from, message, bytes),
         refused: (from, fault) => noteRefusal(context, from, fault),
         closed: (closed, before) => forget(context, closed, before),
-        countHandshake: (of, direction, bytes) => {
-            const count = direction === "in" ? traffic.countIn : traffic.countOut;
-            count("handshake", crossesRegion(context, of), bytes);
-        },
+        countHandshake: (of, frames) =>
+            frames.forEach(({ incoming, bytes }) => {
+                const count = incoming ? traffic.countIn : traffic.countOut;
+                count("handshake", crossesRegion(context, of), bytes);
+            }),
     });
     context.connections.add(link);
 }
