fix(membership): exchange digests on every new link

A herd of 60 starting daemons took 4.3 s and once 23.6 s until each knew all others (trials in one process): records spread before a link opened reached its other side only in a later round of anti-entropy, which repaired two buckets at a time.

Each new link now gets a digest from one side after a jitter of up to 1 s, and a round is bounded by 1,000 records instead of two buckets.

--- a/packages/core/features/membership.feature
+++ b/packages/core/features/membership.feature
@@ -59,6 +59,7 @@
         Given two host tables of 200 hosts that differ in one host
         Then one bucket of their digests differs and its records include that host
         And a table without hosts is given every bucket
+        And a round of anti-entropy among 30000 hosts is limited to 2 buckets
 
     # Guards against hosts that disagree on roles, and a graph that falls apart.
     Scenario: Roles and neighbours follow from the membership
--- a/packages/core/features/steps/membership.ts
+++ b/packages/core/features/steps/membership.ts
@@ -241,7 +241,7 @@
 
 Then("one bucket of their digests differs and its records include that host", function (this: World) {
     const [ours, theirs] = [this.table, this.otherTable].map(table => computeDigest(table.records.values()));
-    const buckets = chooseRepairBuckets(ours ?? [], theirs ?? [], () => 0);
+    const buckets = chooseRepairBuckets(ours ?? [], theirs ?? [], 200, () => 0);
     assert.deepEqual(buckets, [bucketOf("a77")]);
     const sent = recordsOfBuckets(this.otherTable.records.values(), buckets);
     assert.ok(sent.some(entry => entry.host === "a77" && entry.counter === 2));
@@ -250,10 +250,17 @@
 
 Then("a table without hosts is given every bucket", function (this: World) {
     const ours = computeDigest(this.table.records.values());
-    const buckets = chooseRepairBuckets(ours, computeDigest([]), () => 0);
+    const buckets = chooseRepairBuckets(ours, computeDigest([]), 200, () => 0);
     assert.equal(recordsOfBuckets(this.table.records.values(), buckets).length, 200);
 });
 
+Then("a round of anti-entropy among 30000 hosts is limited to 2 buckets", function () {
+    const theirs = Array.from({ length: 64 }, (_, bucket) => (bucket < 20 ? 1 : 0));
+    const ours = theirs.map(() => 0);
+    assert.equal(chooseRepairBuckets(ours, theirs, 30_000, () => 0.5).length, 2);
+    assert.equal(chooseRepairBuckets(ours, theirs, 60, () => 0.5).length, 20);
+});
+
 Given(
     "a membership of {int} regions with {int} domains of {int} hosts each",
     function (this: World, regions: number, domains: number, hosts: number) {
--- a/packages/core/src/membership/constants.ts
+++ b/packages/core/src/membership/constants.ts
@@ -14,10 +14,10 @@
 export const maxHostRecords = 65_536;
 export const digestBuckets = 64;
 /**
- * Buckets exchanged in one round while most buckets agree. At 30,000 hosts a bucket has about 470 records,
- * and records in flight make some buckets differ in every round.
+ * Records that one round of anti-entropy exchanges while most buckets agree. At 30,000 hosts records in flight
+ * make some buckets differ in every round, and all of them would exceed the byte budget.
  */
-export const maxRepairBuckets = 2;
+export const maxRepairRecords = 1_000;
 /** Lag behind an announced version after which a host publishes its record. */
 export const lagMs = 2_000;
 /** Least time between two records that tell only of a new version. */
--- a/packages/core/src/membership/digest.ts
+++ b/packages/core/src/membership/digest.ts
@@ -1,4 +1,4 @@
-import { digestBuckets, maxRepairBuckets } from "./constants.js";
+import { digestBuckets, maxRepairRecords } from "./constants.js";
 import { hash32 } from "./hash.js";
 import { isLive } from "./order.js";
 import type { HostRecord } from "./record.js";
@@ -26,18 +26,20 @@
 
 /**
  * Buckets to exchange in this round. When more than half differ, one side is joining and gets all of them;
- * otherwise a few are picked at random.
+ * otherwise as many as hold a bounded number of records, picked at random, and at least one.
  */
 export function chooseRepairBuckets(
     ours: readonly number[],
     theirs: readonly number[],
+    hosts: number,
     random: () => number,
 ): number[] {
     const differing = ours.flatMap((hash, bucket) => (hash === theirs[bucket] ? [] : [bucket]));
     if (differing.length > digestBuckets / 2) {
         return differing;
     }
-    while (differing.length > maxRepairBuckets) {
+    const limit = Math.max(1, Math.floor((maxRepairRecords * digestBuckets) / Math.max(1, hosts)));
+    while (differing.length > limit) {
         differing.splice(Math.floor(random() * differing.length), 1);
     }
     return differing;
--- a/packages/daemon/src/controllers/membership.ts
+++ b/packages/daemon/src/controllers/membership.ts
@@ -6,8 +6,8 @@
     emptyHostTable,
     EventLevel,
     expireTombstones,
+    hasMoved,
     HostState,
-    isLive,
     isPublicationDue,
     mergeRecords,
     MessageKind,
@@ -78,6 +78,8 @@
         laggingSince: undefined as number | undefined,
         lagPublished: false,
         nextDigestAt: now + antiEntropyMs,
+        /** New links that are owed a first digest, and when. */
+        firstDigests: new Map<string, number>(),
     };
 }
 
@@ -114,7 +116,9 @@
 }
 
 function answerDigest(context: Context, { from, message }: Parameters<InboxHandler<"digest">>[1]): void {
-    const buckets = chooseRepairBuckets(computeDigest(allRecords(context)), message.buckets, context.random);
+    const records = allRecords(context);
+    const digest = computeDigest(records);
+    const buckets = chooseRepairBuckets(digest, message.buckets, records.length, context.random);
     if (buckets.length > 0) {
         sendBuckets(context, from, buckets);
         send(context, { to: { host: from }, message: { kind: MessageKind.RecordRequest, buckets } });
@@ -139,16 +143,24 @@
     sendRecords(context, { host }, recordsOfBuckets(allRecords(context), buckets));
 }
 
-/** A new link gets the own record at once, and one of the links gets a digest after a jitter. */
+/**
+ * A new link gets the own record at once, and a digest from one of its sides after a jitter: records that were
+ * spread before the link opened would otherwise wait for a round of anti-entropy.
+ */
 function greetNewLinks(context: Context): void {
-    const { board, greeted, random } = context;
+    const { board, firstDigests, greeted, random } = context;
     const links = board.read("peerLinks");
-    const added = [...links.keys()].filter(host => !greeted.has(host));
+    const { now } = board.read("clock");
+    const self = ownRecord(context);
     context.greeted = new Set(links.keys());
-    added.forEach(host => sendRecords(context, { host }, [ownRecord(context)]));
-    if (added.length > 0) {
-        const { now } = board.read("clock");
-        context.nextDigestAt = Math.min(context.nextDigestAt, now + random() * joinJitterMs);
+    for (const host of links.keys()) {
+        if (greeted.has(host)) {
+            continue;
+        }
+        sendRecords(context, { host }, [self]);
+        if (self.host < host) {
+            firstDigests.set(host, now + random() * joinJitterMs);
+        }
     }
 }
 
@@ -165,10 +177,7 @@
         writeMembership(context, before.records);
     }
     publishIfDue(context);
-    if (now >= context.nextDigestAt) {
-        context.nextDigestAt = now + antiEntropyMs;
-        sendDigest(context);
-    }
+    sendDueDigests(context, now);
 }
 
 /** After a pause, refutations and links may have come and gone unseen: every wait starts anew. */
@@ -269,12 +278,20 @@
     sendRecords(context, { allBut: [] }, [self]);
 }
 
-function sendDigest(context: Context): void {
-    const hosts = [...context.board.read("peerLinks").keys()];
-    const host = hosts[Math.floor(context.random() * hosts.length)];
-    if (host !== undefined) {
+function sendDueDigests(context: Context, now: number): void {
+    const { board, firstDigests, random } = context;
+    const hosts = [...board.read("peerLinks").keys()];
+    const due = new Set([...firstDigests].filter(([, at]) => now >= at).map(([host]) => host));
+    due.forEach(host => firstDigests.delete(host));
+    if (now >= context.nextDigestAt) {
+        context.nextDigestAt = now + antiEntropyMs;
+        due.add(hosts[Math.floor(random() * hosts.length)] ?? "");
+    }
+    const linked = hosts.filter(host => due.has(host));
+    if (linked.length > 0) {
         const buckets = computeDigest(allRecords(context));
-        send(context, { to: { host }, message: { kind: MessageKind.Digest, buckets } });
+        const message = { kind: MessageKind.Digest, buckets };
+        linked.forEach(host => send(context, { to: { host }, message }));
     }
 }
 
@@ -315,19 +332,6 @@
     return new Map(watermarks);
 }
 
-/** Whether roles or neighbours may have changed. */
-function hasMoved(before: ReadonlyMap<string, HostRecord>, after: ReadonlyMap<string, HostRecord>): boolean {
-    const place = (record: HostRecord | undefined) =>
-        record !== undefined && isLive(record)
-            ? `${record.failureDomain}\n${record.region}\n${record.peerAddress}`
-            : "";
-    const changed = ([host, record]: [string, HostRecord]) => {
-        const known = before.get(host);
-        return known !== record && place(known) !== place(record);
-    };
-    return [...after].some(changed);
-}
-
 function raiseWatermark(context: Context, host: string, version: number): void {
     if (version > (context.watermarks.get(host) ?? 0)) {
         context.watermarks.set(host, version);
