feat(peers): open links on demand for the messages of the call adapter

The fate of a call is asked of the host that got the call, which in a large deployment is rarely a neighbour, so such messages were dropped.

The state and the sending of the adapter move to files of their own.

--- a/packages/daemon/features/links.feature
+++ b/packages/daemon/features/links.feature
@@ -74,3 +74,9 @@
         When both peer adapters have run until they are linked
         And "a1" sends a digest to every peer
         Then the digest bytes out of "a1" equal those into "b1", as cross-region traffic
+
+    # Guards against calls whose fate cannot be asked, because the host that got them is no neighbour.
+    Scenario: A message of the call adapter opens a link to a host that is no neighbour
+        Given a peer adapter "a1" that knows the address of "a2" from the membership only
+        When the call adapter of "a1" asks "a2" for the fate of a call
+        Then "a2" receives the fate request from "a1"
--- a/packages/daemon/features/steps/links.ts
+++ b/packages/daemon/features/steps/links.ts
@@ -1,5 +1,5 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
-import { MessageKind, ProblemCode } from "@tanagertray/core";
+import { MessageKind, ProblemCode, type PeerMessage } from "@tanagertray/core";
 import { encodeFrame } from "@tanagertray/daemon/adapters/peers/codec";
 import { peerPath } from "@tanagertray/daemon/adapters/peers/constants";
 import {
@@ -298,3 +298,39 @@
         assert.equal(out.sameRegion.size, 0);
     },
 );
+
+Given(
+    "a peer adapter {string} that knows the address of {string} from the membership only",
+    async function (this: World, one: string, two: string) {
+        const other = await startTestDaemon({ host: two });
+        const daemon = await startTestDaemon({ host: one });
+        this.linkDaemons = [daemon, other];
+        const { self } = other.board.read("membership");
+        daemon.board
+            .claimValue("membership")
+            .update(before => ({ ...before, records: new Map([[two, self]]) }));
+        await runFor(this.linkDaemons, 1_000);
+        assert.equal(daemon.board.read("peerLinks").size, 0);
+    },
+);
+
+When(
+    "the call adapter of {string} asks {string} for the fate of a call",
+    function (this: World, _from: string, to: string) {
+        const outbox = daemons(this)[0]?.board.claimFeed("callsOutbox");
+        outbox?.append({ to: { host: to }, message: samples.fateRequest });
+    },
+);
+
+Then(
+    "{string} receives the fate request from {string}",
+    async function (this: World, _to: string, from: string) {
+        const received: { from: string; message: PeerMessage }[] = [];
+        daemons(this)[1]?.board.follow("peerInbox", incoming => received.push(incoming));
+        const isFate = ({ message }: { message: PeerMessage }) => message.kind === MessageKind.FateRequest;
+        await runUntil(daemons(this), 2_000, () => received.some(isFate));
+        const [request] = received.filter(isFate);
+        assert.equal(request?.from, from);
+        assert.deepEqual(request?.message, samples.fateRequest);
+    },
+);
--- a/packages/daemon/src/adapters/peers/peers.ts
+++ b/packages/daemon/src/adapters/peers/peers.ts
@@ -1,16 +1,16 @@
 import {
     EventLevel,
+    isLive,
     MessageKind,
-    type OutgoingMessage,
+    type Neighbour,
     type PeerMessage,
     type Problem,
 } from "@tanagertray/core";
-import type { IncomingMessage as UpgradeRequest, Server } from "node:http";
+import type { IncomingMessage as UpgradeRequest } from "node:http";
 import type { Duplex } from "node:stream";
 import { WebSocket, WebSocketServer } from "ws";
-import type { Board, PeerLink } from "../../board.js";
+import type { Board } from "../../board.js";
 import type { Closeable } from "../../closeable.js";
-import { formatEndpoint } from "../../settings/resolveSettings.js";
 import { encodeFrame } from "./codec.js";
 import {
     fewLinks,
@@ -23,18 +23,21 @@
     silenceMs,
     unwantedLinkMs,
 } from "./constants.js";
-import { backOff, chooseDials, type Attempt } from "./dialing.js";
-import { Role, type Identity } from "./handshake.js";
+import {
+    createContext,
+    crossesRegion,
+    note,
+    writeLinks,
+    type Context,
+    type PeersOptions,
+} from "./context.js";
+import { backOff, chooseDials } from "./dialing.js";
+import { Role } from "./handshake.js";
 import { CloseCode, createLink, LinkPhase, type Link } from "./link.js";
 import { replaces } from "./linkTable.js";
-import { createTrafficCounter } from "./traffic.js";
+import { createHeartbeat, send, sendFrame, sendOrWait } from "./sending.js";
 
-export interface PeersOptions {
-    /** Listener that receives the upgrade requests of other daemons. */
-    readonly server: Server;
-    /** @default Math.random */
-    readonly random?: () => number;
-}
+export type { PeersOptions };
 
 const socketOptions = { perMessageDeflate: false, maxPayload: maxMessageBytes } as const;
 /** Time for the close frames of all links to be answered, in milliseconds. */
@@ -67,9 +70,10 @@
     options.server.on("upgrade", upgrade);
     const subscriptions = [
         board.observe(["clock"], () => tick(context)),
-        ...(["membershipOutbox", "configurationOutbox", "joiningOutbox", "callsOutbox"] as const).map(feed =>
+        ...(["membershipOutbox", "configurationOutbox", "joiningOutbox"] as const).map(feed =>
             board.follow(feed, outgoing => send(context, outgoing)),
         ),
+        board.follow("callsOutbox", outgoing => sendOrWait(context, outgoing)),
     ];
     return {
         async close() {
@@ -81,38 +85,6 @@
     };
 }
 
-type Context = ReturnType<typeof createContext>;
-
-function createContext(board: Board, { random = Math.random }: PeersOptions) {
-    const settings = board.read("settings");
-    const self: Identity = {
-        host: settings.host,
-        failureDomain: settings.failureDomain,
-        region: settings.region,
-        address: formatEndpoint(settings.listen.peer),
-    };
-    return {
-        board,
-        random,
-        self,
-        keys: settings.keys.peer,
-        /** Every connection, also those in their handshake. */
-        connections: new Set<Link>(),
-        /** The one open link to each host. */
-        links: new Map<string, Link>(),
-        attempts: new Map<string, Attempt>() as ReadonlyMap<string, Attempt>,
-        traffic: createTrafficCounter(),
-        heartbeatAt: 0,
-        closing: false,
-        /** Called when the last connection is gone while closing. */
-        emptied: () => {},
-        peerLinks: board.claimValue("peerLinks"),
-        peerTraffic: board.claimValue("peerTraffic"),
-        inbox: board.claimFeed("peerInbox"),
-        events: board.claimFeed("peerEvents"),
-    };
-}
-
 function countPending({ connections }: Context): number {
     return [...connections].filter(link => link.role === Role.Acceptor && link.phase !== LinkPhase.Open)
         .length;
@@ -154,6 +126,7 @@
     note(context, "peer.linked", EventLevel.Info, link, {});
     // The first message tells the dialer that the link is admitted.
     sendFrame(context, link, MessageKind.Heartbeat, encodeFrame(createHeartbeat(context)));
+    context.waiting.take(host).forEach(message => send(context, { to: { host }, message }));
     return true;
 }
 
@@ -202,6 +175,9 @@
         writeLinks(context);
         context.peerTraffic.write(context.traffic.total());
     }
+    for (const host of context.waiting.expire(now)) {
+        note(context, "peer.unreachable", EventLevel.Warn, undefined, { to: host });
+    }
     dial(context, now);
 }
 
@@ -230,7 +206,7 @@
 function dial(context: Context, now: number): void {
     const { attempts, board, links, random, self } = context;
     const choice = chooseDials({
-        neighbours: board.read("topology").neighbours,
+        neighbours: [...board.read("topology").neighbours, ...waitedFor(context)],
         seeds: [...board.read("settings").peers, ...board.read("domainAddresses")],
         ownAddress: self.address,
         linkedHosts: links,
@@ -245,6 +221,15 @@
     }
 }
 
+/** Live hosts without a link for which messages wait. */
+function waitedFor({ board, waiting }: Context): Neighbour[] {
+    const { records } = board.read("membership");
+    return waiting.hosts().flatMap(host => {
+        const record = records.get(host);
+        return record !== undefined && isLive(record) ? [{ host, address: record.peerAddress }] : [];
+    });
+}
+
 function connect(context: Context, address: string, now: number): void {
     try {
         const url = `ws://${address}${peerPath}`;
@@ -257,53 +242,6 @@
     }
 }
 
-function send(context: Context, { to, message }: OutgoingMessage): void {
-    const targets =
-        "host" in to
-            ? [context.links.get(to.host)].filter(link => link !== undefined)
-            : [...context.links].filter(([host]) => !to.allBut.includes(host)).map(([, link]) => link);
-    if (targets.length === 0) {
-        return;
-    }
-    const frame = encodeFrame(message);
-    if (frame.length > maxMessageBytes) {
-        note(context, "peer.messageTooLarge", EventLevel.Error, undefined, {
-            kind: message.kind,
-            bytes: frame.length,
-        });
-        return;
-    }
-    targets.forEach(link => sendFrame(context, link, message.kind, frame));
-}
-
-function sendFrame(context: Context, link: Link, kind: MessageKind, frame: Buffer): void {
-    if (link.send(frame)) {
-        context.traffic.countOut(kind, crossesRegion(context, link), frame.length);
-    }
-}
-
-function createHeartbeat({ board }: Context): PeerMessage {
-    const held = board.read("configuration").held;
-    return {
-        kind: MessageKind.Heartbeat,
-        version: held?.manifest.version ?? 0,
-        manifestHash: held?.manifestHash ?? "",
-    };
-}
-
-function crossesRegion({ self }: Context, link: Link): boolean {
-    return link.peer !== undefined && link.peer.region !== self.region;
-}
-
-function writeLinks({ links, peerLinks }: Context): void {
-    const open = [...links].flatMap(([host, link]): [string, PeerLink][] =>
-        link.peer === undefined
-            ? []
-            : [[host, { ...link.peer, openedAt: link.openedAt, heardAt: link.heardAt }]],
-    );
-    peerLinks.write(new Map(open));
-}
-
 function noteRefusal(context: Context, link: Link, fault: Problem): void {
     note(context, "peer.refused", EventLevel.Warn, link, {
         code: fault.code,
@@ -312,17 +250,6 @@
     });
 }
 
-function note(
-    { events }: Context,
-    name: string,
-    level: EventLevel,
-    link: Link | undefined,
-    fields: Record<string, string | number | undefined>,
-): void {
-    const address = link?.dialed ?? link?.peer?.address;
-    events.append({ name, level, fields: { host: link?.peer?.host, address, ...fields } });
-}
-
 async function closeLinks(context: Context): Promise<void> {
     const { connections } = context;
     connections.forEach(link => link.close(CloseCode.GoingAway));
