--- a/packages/core/features/membership.feature
+++ b/packages/core/features/membership.feature
@@ -80,3 +80,8 @@
         Then a new version alone is published after 1500 s
         And new offers are published at once
         And a lag of 2 s is published once
+
+    # Guards against a change that reaches an older copy of the table, or a wrong count of hosts.
+    Scenario: A map of hosts changes without changing its older copies
+        When random changes are made to a bucket map and to a plain map
+        Then both maps agree after every change and older copies stay as they were
--- /dev/null
+++ b/packages/core/features/steps/bucketMap.ts
@@ -0,0 +1,35 @@
+import { Then, When } from "@cucumber/cucumber";
+import { createBucketMap } from "@tanagertray/core";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+
+const seed = 20_240_613;
+
+When("random changes are made to a bucket map and to a plain map", function () {
+    // The property is checked in the next step.
+});
+
+Then("both maps agree after every change and older copies stay as they were", function () {
+    const host = fc.integer({ min: 0, max: 30 }).map(at => `a${at}`);
+    const change = fc.tuple(host, fc.option(fc.nat(), { nil: undefined }));
+    fc.assert(
+        fc.property(fc.array(fc.array(change, { maxLength: 5 })), batches => {
+            const copies: [ReadonlyMap<string, number>, Map<string, number>][] = [];
+            const plain = new Map<string, number>();
+            let map = createBucketMap<number>();
+            for (const batch of batches) {
+                map = map.withChanges(new Map(batch));
+                new Map(batch).forEach((item, key) =>
+                    item === undefined ? plain.delete(key) : plain.set(key, item),
+                );
+                copies.push([map, new Map(plain)]);
+            }
+            for (const [copy, expected] of copies) {
+                assert.equal(copy.size, expected.size);
+                assert.deepEqual(new Map(copy), expected);
+                expected.forEach((item, key) => assert.equal(copy.get(key), item));
+            }
+        }),
+        { seed, numRuns: 200 },
+    );
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,6 +17,7 @@
 export * from "./configuration/assemble.js";
 export * from "./configuration/interest.js";
 export * from "./membership/record.js";
+export * from "./membership/bucketMap.js";
 export * from "./membership/composition.js";
 export * from "./membership/constants.js";
 export * from "./membership/digest.js";
--- a/packages/core/src/membership/composition.ts
+++ b/packages/core/src/membership/composition.ts
@@ -1,20 +1,16 @@
 import { isLive } from "./order.js";
 import type { HostRecord } from "./record.js";
 
-/**
- * Whether roles or neighbours may have changed: a host came, went or moved. Expired tombstones change neither.
- */
+/** Whether the changed records may change roles or neighbours: a host came, went or moved. */
 export function hasMoved(
-    before: ReadonlyMap<string, HostRecord>,
-    after: ReadonlyMap<string, HostRecord>,
+    before: { get(host: string): HostRecord | undefined },
+    changed: readonly HostRecord[],
 ): boolean {
-    const place = (record: HostRecord | undefined) =>
-        record !== undefined && isLive(record)
-            ? `${record.failureDomain}\n${record.region}\n${record.peerAddress}`
-            : "";
-    const changed = ([host, record]: [string, HostRecord]) => {
-        const known = before.get(host);
-        return known !== record && place(known) !== place(record);
-    };
-    return [...after].some(changed);
+    return changed.some(record => placeOf(before.get(record.host)) !== placeOf(record));
+}
+
+function placeOf(record: HostRecord | undefined): string {
+    return record !== undefined && isLive(record)
+        ? `${record.failureDomain}\n${record.region}\n${record.peerAddress}`
+        : "";
 }
--- a/packages/core/src/membership/hostTable.ts
+++ b/packages/core/src/membership/hostTable.ts
@@ -1,10 +1,11 @@
+import { createBucketMap, type BucketMap } from "./bucketMap.js";
 import { maxHostRecords, maxTombstones, tombstoneMs } from "./constants.js";
 import { compareRecords, isLive } from "./order.js";
 import { HostState, type HostRecord } from "./record.js";
 
 /** Host records, and since when each host that is not alive has been in its state, by the local clock. */
 export interface HostTable {
-    readonly records: ReadonlyMap<string, HostRecord>;
+    readonly records: BucketMap<HostRecord>;
     readonly since: ReadonlyMap<string, number>;
 }
 
@@ -18,21 +19,21 @@
     readonly dropped: number;
 }
 
-export const emptyHostTable: HostTable = { records: new Map(), since: new Map() };
+export const emptyHostTable: HostTable = { records: createBucketMap(), since: new Map() };
 
 /** Takes every record that is newer than the known one of its host. */
 export function mergeRecords(table: HostTable, incoming: readonly HostRecord[], now: number): Merge {
-    const records = new Map(table.records);
     const since = new Map(table.since);
     const changed = new Map<string, HostRecord>();
     const corrections: HostRecord[] = [];
     let dropped = 0;
+    let added = 0;
     for (const record of incoming) {
-        const known = records.get(record.host);
-        if (known === undefined && records.size >= maxHostRecords) {
+        const known = changed.get(record.host) ?? table.records.get(record.host);
+        if (known === undefined && table.records.size + added >= maxHostRecords) {
             dropped += 1;
         } else if (known === undefined || compareRecords(record, known) > 0) {
-            records.set(record.host, record);
+            added += known === undefined ? 1 : 0;
             changed.set(record.host, record);
             noteState(since, record, now);
         } else if (!isLive(known) && isLive(record)) {
@@ -42,6 +43,7 @@
     if (changed.size === 0) {
         return { table, changed: [], corrections, dropped };
     }
+    const records = table.records.withChanges(changed);
     return { table: { records, since }, changed: [...changed.values()], corrections, dropped };
 }
 
@@ -60,17 +62,14 @@
         return record !== undefined && !isLive(record);
     });
     const excess = tombstones.length - maxTombstones;
+    if (excess <= 0 && !tombstones.some(([, at]) => now - at >= tombstoneMs)) {
+        return table;
+    }
     const expired = tombstones
         .sort(([, a], [, b]) => a - b)
         .filter(([, at], index) => index < excess || now - at >= tombstoneMs);
-    if (expired.length === 0) {
-        return table;
-    }
-    const records = new Map(table.records);
+    const records = table.records.withChanges(new Map(expired.map(([host]) => [host, undefined])));
     const since = new Map(table.since);
-    for (const [host] of expired) {
-        records.delete(host);
-        since.delete(host);
-    }
+    expired.forEach(([host]) => since.delete(host));
     return { records, since };
 }
--- a/packages/daemon/features/steps/links.ts
+++ b/packages/daemon/features/steps/links.ts
@@ -308,7 +308,7 @@
         const { self } = other.board.read("membership");
         daemon.board
             .claimValue("membership")
-            .update(before => ({ ...before, records: new Map([[two, self]]) }));
+            .update(before => ({ ...before, records: before.records.withChanges(new Map([[two, self]])) }));
         await runFor(this.linkDaemons, 1_000);
         assert.equal(daemon.board.read("peerLinks").size, 0);
     },
--- a/packages/daemon/src/board.ts
+++ b/packages/daemon/src/board.ts
@@ -1,9 +1,11 @@
 import {
     createBlackboard,
+    createBucketMap,
     ReadinessState,
     type Announcement,
     type BackendServer,
     type Blackboard,
+    type BucketMap,
     type ConfigurationState,
     type Event,
     type Feed,
@@ -51,9 +53,9 @@
 
 export interface Membership {
     readonly self: HostRecord;
-    readonly records: ReadonlyMap<string, HostRecord>;
+    readonly records: BucketMap<HostRecord>;
     /** Highest version that each host was seen to hold. */
-    readonly watermarks: ReadonlyMap<string, number>;
+    readonly watermarks: BucketMap<number>;
     /** Rises whenever a host joins, goes or moves, but not with other changes of records. */
     readonly composition: number;
 }
@@ -134,8 +136,8 @@
             peerTraffic: noTraffic,
             membership: {
                 self: firstRecord(settings, now),
-                records: new Map(),
-                watermarks: new Map(),
+                records: createBucketMap(),
+                watermarks: createBucketMap(),
                 composition: 0,
             },
             topology: { headReader: true, domainRelay: false, regionRelay: false, neighbours: [] },
--- a/packages/daemon/src/controllers/membership.ts
+++ b/packages/daemon/src/controllers/membership.ts
@@ -70,8 +70,9 @@
         /** Received records by sender, until the next tick. */
         pending: new Map<string, HostRecord[]>(),
         pendingCount: 0,
-        watermarks: new Map<string, number>(),
-        watermarksChanged: false,
+        /** Versions seen since the last write of the watermarks. */
+        raised: new Map<string, number>(),
+        moved: false,
         greeted: new Set<string>(),
         publishedAt: now,
         announcedVersion: 0,
@@ -132,7 +133,7 @@
     const message: PeerMessage = {
         kind: MessageKind.Watermark,
         host,
-        version: context.watermarks.get(host) ?? 0,
+        version: watermarkOf(context, host),
         incarnation: context.table.records.get(host)?.incarnation ?? 0,
         held: heldVersion(context.board),
     };
@@ -173,7 +174,7 @@
     mergePending(context, now);
     detect(context, now);
     context.table = expireTombstones(context.table, now);
-    if (context.table !== before || context.watermarksChanged) {
+    if (context.table !== before || context.raised.size > 0) {
         writeMembership(context, before.records);
     }
     publishIfDue(context);
@@ -219,6 +220,7 @@
     const before = context.table.records;
     const result = mergeRecords(context.table, records, now);
     context.table = result.table;
+    context.moved ||= hasMoved(before, result.changed);
     for (const record of result.changed) {
         raiseWatermark(context, record.host, record.version);
         const was = before.get(record.host)?.state;
@@ -307,36 +309,31 @@
 }
 
 function writeMembership(context: Context, before: ReadonlyMap<string, HostRecord>): void {
+    const { moved, raised } = context;
     const { records } = context.table;
-    const moved = hasMoved(before, records);
-    const watermarks = context.watermarksChanged
-        ? keepKnownHosts(context)
-        : context.board.read("membership").watermarks;
-    context.watermarksChanged = false;
-    context.membership.update(before => ({
-        self: before.self,
+    const changes = new Map<string, number | undefined>(raised);
+    if (records.size < before.size) {
+        // Watermarks are kept as long as the tombstone of their host.
+        [...before.keys()].filter(host => !records.has(host)).forEach(host => changes.set(host, undefined));
+    }
+    context.raised = new Map();
+    context.moved = false;
+    context.membership.update(({ self, composition, watermarks }) => ({
+        self,
         records,
-        watermarks,
-        composition: before.composition + (moved ? 1 : 0),
+        watermarks: changes.size === 0 ? watermarks : watermarks.withChanges(changes),
+        composition: composition + (moved ? 1 : 0),
     }));
 }
 
-/** Watermarks are kept as long as the tombstone of their host. */
-function keepKnownHosts({ board, table, watermarks }: Context): ReadonlyMap<string, number> {
-    const linked = board.read("peerLinks");
-    for (const host of watermarks.keys()) {
-        if (!table.records.has(host) && !linked.has(host)) {
-            watermarks.delete(host);
-        }
+function raiseWatermark(context: Context, host: string, version: number): void {
+    if (version > watermarkOf(context, host)) {
+        context.raised.set(host, version);
     }
-    return new Map(watermarks);
 }
 
-function raiseWatermark(context: Context, host: string, version: number): void {
-    if (version > (context.watermarks.get(host) ?? 0)) {
-        context.watermarks.set(host, version);
-        context.watermarksChanged = true;
-    }
+function watermarkOf({ board, raised }: Context, host: string): number {
+    return raised.get(host) ?? board.read("membership").watermarks.get(host) ?? 0;
 }
 
 function noteAnnounced(context: Context, version: number): void {
