--- a/packages/daemon/features/membership.feature
+++ b/packages/daemon/features/membership.feature
@@ -28,6 +28,13 @@
         And "a2" hears of a later incarnation of "a1"
         Then "a1" takes the incarnation after it, and "a3" learns of it
 
+    # Guards against a resumed host that takes its own pause for the silence of all others.
+    Scenario: A host that was paused suspects nobody
+        Given three membership daemons "a1", "a2" and "a3" where "a1" knows only "a2" and "a3" only "a2"
+        When the membership daemons have run until all know each other
+        And the process of "a1" is paused for 20 s
+        Then "a1" still has its links and suspects nobody during the next 2 s
+
     # Guards against relays that write the row of their domain without end, or race each other.
     Scenario: The row of a failure domain is written only when it changes
         Given a membership daemon "a1" without peers and a simulated platform
--- a/packages/daemon/features/steps/membership.ts
+++ b/packages/daemon/features/steps/membership.ts
@@ -132,6 +132,29 @@
     });
 });
 
+When(
+    "the process of {string} is paused for {int} s",
+    async function (this: World, host: string, seconds: number) {
+        // Part of the wait for a suspicion has passed when the pause begins.
+        await runFor(all(this), 500);
+        daemonOf(this, host).pause(seconds * 1_000);
+    },
+);
+
+Then(
+    "{string} still has its links and suspects nobody during the next {int} s",
+    async function (this: World, host: string, seconds: number) {
+        const { board, events } = daemonOf(this, host);
+        await runFor(all(this), seconds * 1_000);
+        assert.equal(board.read("peerLinks").size, 2);
+        const unlinked = events.filter(({ name }) => name === "peer.silent");
+        assert.deepEqual(unlinked, []);
+        for (const record of board.read("membership").records.values()) {
+            assert.deepEqual([record.state, record.counter], [HostState.Alive, 0], record.host);
+        }
+    },
+);
+
 Then(
     "{string} takes the incarnation after it, and {string} learns of it",
     async function (this: World, host: string, at: string) {
--- a/packages/daemon/features/steps/testDaemon.ts
+++ b/packages/daemon/features/steps/testDaemon.ts
@@ -15,6 +15,8 @@
     readonly server: Server;
     readonly events: { name: string; fields: Record<string, unknown> }[];
     tick(ms: number): void;
+    /** Moves the clock as after a pause of the process. */
+    pause(ms: number): void;
     close(): Promise<void>;
 }
 
@@ -66,6 +68,7 @@
         server,
         events,
         tick: ms => clock.write({ now: board.read("clock").now + ms, pausedForMs: 0 }),
+        pause: ms => clock.write({ now: board.read("clock").now + ms, pausedForMs: ms }),
         async close() {
             await peers.close();
             parts.forEach(part => part.close());
