fix(peers): a dialer keeps its link when another address names the same host

Two seed addresses of one host made the dialer replace its link without end: 72 links were opened in about 9 s of simulated time.

The dialer now closes the second connection before it proves a key, and does not connect to an address that it already dialed for an open link. The new scenario opens 1 link and fails without the check.

--- a/packages/daemon/features/links.feature
+++ b/packages/daemon/features/links.feature
@@ -31,6 +31,13 @@
         And the peer link between them goes silent while new connections work
         Then the silent link is closed after 3 s and a new one is opened
 
+    # Guards against a link that is replaced without end, because the seeds name one host by two addresses.
+    Scenario: Seeds that name one host by two addresses do not disturb the link
+        Given a peer adapter "a1" whose seeds name "a2" by two addresses
+        When both peer adapters have run until they are linked
+        And the two peer adapters have run for 8000 ms
+        Then each peer adapter opened at most 1 links
+
     # Guards against a decoder that throws, or lets a wrong type through.
     Scenario: Malformed bytes never throw and never pass as a message
         When 4000 mutated peer messages are decoded with a fixed seed
--- a/packages/daemon/features/steps/links.ts
+++ b/packages/daemon/features/steps/links.ts
@@ -111,6 +111,16 @@
     },
 );
 
+Given(
+    "a peer adapter {string} whose seeds name {string} by two addresses",
+    async function (this: World, one: string, two: string) {
+        const other = await startTestDaemon({ host: two });
+        this.relay = await startRelay(other.address);
+        const peers = [this.relay.address, this.relay.address.replace("127.0.0.1", "localhost")];
+        this.linkDaemons = [await startTestDaemon({ host: one, peers }), other];
+    },
+);
+
 Given(
     "daemons {string} and {string} of different regions that know each other",
     async function (this: World, a: string, b: string) {
@@ -150,6 +160,13 @@
     refusals.forEach(({ fields }) => assert.equal(fields["code"], code));
 });
 
+Then("each peer adapter opened at most {int} links", function (this: World, most: number) {
+    for (const { host, events } of daemons(this)) {
+        const opened = events.filter(({ name }) => name === "peer.linked").length;
+        assert.ok(opened >= 1 && opened <= most, `${host} opened ${opened} links`);
+    }
+});
+
 const identity = (host: string): Identity => ({
     host,
     failureDomain: "a",
--- a/packages/daemon/src/adapters/peers/link.ts
+++ b/packages/daemon/src/adapters/peers/link.ts
@@ -65,6 +65,8 @@
     readonly self: Identity;
     readonly keys: readonly string[];
     readonly now: () => number;
+    /** Asked by the dialer before it proves a key: whether it has an open link to the host that it dialed itself. */
+    readonly alreadyDialed: (host: string) => boolean;
     /** Asked once both sides have proved a key. `false` closes the link as a duplicate. */
     readonly admit: (link: Link) => boolean;
     readonly deliver: (link: Link, message: PeerMessage, bytes: number) => void;
@@ -185,6 +187,10 @@
             Left: fault => refuse(context, fault),
             Right: transcript => {
                 link.peer = transcript.acceptor;
+                if (options.alreadyDialed(transcript.acceptor.host)) {
+                    link.close(CloseCode.Duplicate);
+                    return;
+                }
                 link.phase = LinkPhase.AwaitingAdmission;
                 const proof = prove(options.keys, Role.Dialer, transcript);
                 sendHandshake(context, { kind: HandshakeKind.Proof, proof });
--- a/packages/daemon/src/adapters/peers/peers.ts
+++ b/packages/daemon/src/adapters/peers/peers.ts
@@ -99,6 +99,7 @@
         self,
         keys,
         now: () => board.read("clock").now,
+        alreadyDialed: host => context.links.get(host)?.role === Role.Dialer,
         admit: next => admit(context, next),
         deliver: (from, message, bytes) => deliver(context, from, message, bytes),
         refused: (from, fault) => noteRefusal(context, from, fault),
@@ -210,7 +211,10 @@
         seeds: [...board.read("settings").peers, ...board.read("domainAddresses")],
         ownAddress: self.address,
         linkedHosts: links,
-        linkedAddresses: new Set([...links.values()].map(link => link.peer?.address ?? "")),
+        // A host may be listed by another address than its own, such as that of an address translation.
+        linkedAddresses: new Set(
+            [...links.values()].flatMap(link => [link.peer?.address ?? "", link.dialed ?? ""]),
+        ),
         attempts,
         now,
         random,
