--- a/packages/daemon/features/steps/callFixture.ts
+++ b/packages/daemon/features/steps/callFixture.ts
@@ -1,4 +1,5 @@
 import {
+    createBucketMap,
     canonicalBytes,
     contentHash,
     generateConfiguration,
@@ -192,7 +193,13 @@
     };
     records.set(name, record);
     const membership = board.claimValue("membership");
-    const publish = () => membership.write({ self: record, records, watermarks: new Map() });
+    const publish = () =>
+        membership.update(current => ({
+            ...current,
+            self: record,
+            records: createBucketMap<HostRecord>().withChanges(records),
+            composition: current.composition + 1,
+        }));
     publishers.set(records, [...(publishers.get(records) ?? []), publish]);
     if (offers) {
         servers.write(new Map([["s1", server]]));
--- a/packages/daemon/src/start.ts
+++ b/packages/daemon/src/start.ts
@@ -3,16 +3,20 @@
 import { createClock } from "./adapters/clock.js";
 import { closeListener, openListener } from "./adapters/httpListener.js";
 import { createLog } from "./adapters/log.js";
+import { createPeers } from "./adapters/peers/peers.js";
 import { createPlatformClient } from "./adapters/platform.js";
 import { createTraces } from "./adapters/traces.js";
 import { createBoard, type Board } from "./board.js";
 import type { Closeable } from "./closeable.js";
 import { createBackendServers } from "./controllers/backendServers.js";
 import { createConfigurationController } from "./controllers/configuration.js";
+import { createDomainRow } from "./controllers/domainRow.js";
 import { createHeadReading } from "./controllers/headReading.js";
+import { createMembership } from "./controllers/membership.js";
 import { createReadiness } from "./controllers/readiness.js";
 import { createRevisions } from "./controllers/revisions.js";
 import { createRouting } from "./controllers/routing.js";
+import { createTopology } from "./controllers/topology.js";
 import { waitForCalls } from "./draining.js";
 import type { ResolvedSettings } from "./settings/settings.js";
 
@@ -37,6 +41,9 @@
         createBackendServers(board),
         createRouting(board),
         createRevisions(board),
+        createMembership(board),
+        createTopology(board),
+        createDomainRow(board),
     ];
     const calls = await createCalls(board);
     const peerServer = await openListener(settings.listen.peer, calls.handleHop);
@@ -47,6 +54,7 @@
         createPlatformClient(board),
         await createAdmin(board),
         { close: () => closeListener(peerServer) },
+        createPeers(board, { server: peerServer }),
         calls,
     ];
 
