feat(distribution): manifest deltas and checks of resource shapes

Cause: a part was parsed without any check, and no function compared manifests. Conclusion: a malformed resource or manifest is an error value of a bad version.

--- a/packages/core/src/configuration/assemble.ts
+++ b/packages/core/src/configuration/assemble.ts
@@ -3,7 +3,8 @@
 import { contentHash } from "./canonical.js";
 import type { HeldConfiguration } from "./heldConfiguration.js";
 import type { Manifest, Parts } from "./manifest.js";
-import type { Resource, ResourceName } from "./resource.js";
+import { referencesOf, type Resource, type ResourceName } from "./resource.js";
+import { readResource } from "./resourceChecks.js";
 
 export interface AssemblyOptions {
     manifest: Manifest;
@@ -27,11 +28,11 @@
         if (part.isLeft()) {
             return Left(part.extract() as Problem);
         }
-        const { hash, bytes } = part.extract() as NeededPart;
+        const { hash, bytes, resource } = part.extract() as NeededPart;
         parts.set(hash, bytes);
-        resources.set(name, JSON.parse(Buffer.from(bytes).toString("utf8")) as Resource);
+        resources.set(name, resource);
     }
-    const dangling = findDanglingReference(options);
+    const dangling = findDanglingReference(options, resources);
     if (dangling !== undefined) {
         return Left(dangling);
     }
@@ -41,6 +42,7 @@
 interface NeededPart {
     readonly hash: string;
     readonly bytes: Uint8Array;
+    readonly resource: Resource;
 }
 
 function readPart(options: AssemblyOptions, name: ResourceName): Either<Problem, NeededPart> {
@@ -64,13 +66,19 @@
             }),
         );
     }
-    return Right({ hash: entry.hash, bytes });
+    return readResource(name, bytes)
+        .map(resource => ({ hash: entry.hash, bytes, resource }))
+        .mapLeft(reason => ({ ...reason, where }));
 }
 
-function findDanglingReference(options: AssemblyOptions): Problem | undefined {
-    const needed = new Set(options.needed);
-    for (const name of options.needed) {
-        const reference = options.manifest.entries[name]?.references.find(target => !needed.has(target));
+/** The references in the resource itself count as well: the manifest may name fewer. */
+function findDanglingReference(
+    options: AssemblyOptions,
+    resources: ReadonlyMap<ResourceName, Resource>,
+): Problem | undefined {
+    for (const [name, resource] of resources) {
+        const references = [...referencesOf(resource), ...(options.manifest.entries[name]?.references ?? [])];
+        const reference = references.find(target => !resources.has(target));
         if (reference !== undefined) {
             const message = `resource "${name}" refers to "${reference}", which this host lacks`;
             return problem(ProblemCode.DanglingReference, message, {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -16,6 +16,8 @@
 export * from "./configuration/heldConfiguration.js";
 export * from "./configuration/assemble.js";
 export * from "./configuration/interest.js";
+export * from "./configuration/delta.js";
+export * from "./configuration/resourceChecks.js";
 export * from "./membership/record.js";
 export * from "./messages/peerMessage.js";
 export * from "./admission/backendServer.js";
--- a/packages/core/src/problem.ts
+++ b/packages/core/src/problem.ts
@@ -14,6 +14,7 @@
     WrongBase: "wrongBase",
     OlderVersion: "olderVersion",
     MalformedMessage: "malformedMessage",
+    MalformedResource: "malformedResource",
     Unauthorized: "unauthorized",
     Overloaded: "overloaded",
 } as const;
