feat(distribution): state machine that spreads versions between hosts

Cause: a host learnt of a version from the head row alone and fetched every part from the object store. Change: advanceDistribution takes messages, head rows, stored objects, links, interest, floor and ticks, and returns the next state with messages, reads and events.

--- /dev/null
+++ b/packages/core/features/steps/distribution.ts
@@ -0,0 +1,293 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import {
+    advanceDistribution,
+    canonicalBytes,
+    contentHash,
+    createDistribution,
+    diffManifests,
+    InputKind,
+    keepSteps,
+    manifestHashOf,
+    MessageKind,
+    noKeptSteps,
+    type Distribution,
+    type DistributionInput,
+    type Effects,
+    type KeptSteps,
+    type Manifest,
+    type Part,
+    type PeerMessage,
+    type Spread,
+    type UpdateStep,
+} from "@tanagertray/core";
+import assert from "node:assert/strict";
+import { runNetwork, type NetworkReport } from "../support/network.js";
+import { bytesOf, createHolder, linksTo, makeVersion, type Version } from "../support/versions.js";
+
+/** Route, service, caller and partner of `s0`, and those that `s0` needs to call `s2`. */
+const resourcesOfS0 = 7;
+
+interface World {
+    spread: Spread;
+    reports: NetworkReport[];
+    host: Distribution;
+    now: number;
+    one: Version;
+    bad: Version;
+    effects: Effects[];
+    kept: KeptSteps;
+}
+
+function feed(world: World, input: DistributionInput): Effects {
+    const { state, effects } = advanceDistribution(world.host, input, { now: world.now, random: () => 0 });
+    world.host = state;
+    world.effects.push(effects);
+    return effects;
+}
+
+function receive(world: World, from: string, message: PeerMessage): Effects {
+    return feed(world, { kind: InputKind.Message, incoming: { from, receivedAt: world.now, message } });
+}
+
+function updateOf(from: Version, to: Version, parts: readonly Part[] = to.parts): PeerMessage {
+    const step: UpdateStep = {
+        base: from.manifest.version,
+        version: to.manifest.version,
+        manifestHash: to.hash,
+        delta: diffManifests(from.manifest, to.manifest),
+    };
+    return { kind: MessageKind.Update, steps: [step], parts };
+}
+
+Given("distributing hosts in 2 regions with {string} spread", function (this: World, spread: Spread) {
+    this.spread = spread;
+    this.reports = [];
+});
+
+When(
+    "{int} versions reach them in random orders with losses, {int} times",
+    function (this: World, versions: number, runs: number) {
+        this.reports = runNetwork({ spread: this.spread, versions, runs, seed: 4_711 });
+        assert.equal(this.reports.length, runs);
+    },
+);
+
+Then("no distributing host ever went back or lacked a reference", function (this: World) {
+    assert.deepEqual(
+        this.reports.flatMap(report => report.faults),
+        [],
+    );
+});
+
+Then("every distributing host ended on the newest version", function (this: World) {
+    this.reports.forEach(report =>
+        assert.deepEqual(new Set(report.versions), new Set([report.newest]), `run ${report.run}`),
+    );
+});
+
+Given("a distributing host that holds version 1", function (this: World) {
+    this.now = 1_000;
+    this.effects = [];
+    this.one = makeVersion(1);
+    this.host = createHolder(this.one, { services: ["s0"], outsideCallers: false });
+    feed(this, { kind: InputKind.Links, links: linksTo(["a", "b"]) });
+});
+
+/** Version 2 with one resource of the host replaced by the given bytes. */
+function replacePart(bytes: Uint8Array, references?: readonly string[]): Version {
+    const two = makeVersion(2);
+    const name = "route/s0";
+    const entry = two.manifest.entries[name];
+    assert.ok(entry !== undefined);
+    const hash = contentHash(bytes);
+    const changed = { ...entry, hash, references: references ?? entry.references };
+    const manifest: Manifest = { version: 2, entries: { ...two.manifest.entries, [name]: changed } };
+    return { manifest, hash: manifestHashOf(manifest), parts: [...two.parts, { hash, bytes }] };
+}
+
+const route = () => JSON.parse(Buffer.from(bytesOf(makeVersion(2), "route/s0")).toString("utf8"));
+
+const badVersions: Readonly<Record<string, () => Version>> = {
+    "a wrong manifest hash": () => ({ ...makeVersion(2), hash: contentHash(Buffer.from("other")) }),
+    "a dangling reference": () => replacePart(canonicalBytes(route()), ["service/none"]),
+    "an undeclared reference": () => replacePart(canonicalBytes({ ...route(), service: "service/s1" })),
+    "an unparsable part": () => replacePart(Buffer.from("{")),
+    "a resource of wrong shape": () => replacePart(canonicalBytes({ ...route(), operations: [{}] })),
+    "a part of another name": () => replacePart(canonicalBytes({ ...route(), name: "s1" })),
+};
+
+When("it receives version 2 with {string}", function (this: World, fault: string) {
+    const bad = badVersions[fault];
+    assert.ok(bad !== undefined);
+    this.bad = bad();
+    receive(this, "a", updateOf(this.one, this.bad));
+});
+
+Then("it still holds version 1 complete and reports version 2 as rejected", function (this: World) {
+    assert.equal(this.host.held?.manifest.version, 1);
+    assert.equal(this.host.held?.manifestHash, this.one.hash);
+    assert.equal(this.host.held?.resources.size, resourcesOfS0);
+    assert.equal(this.host.rejected?.version, 2);
+    const names = this.effects.flatMap(effects => effects.events.map(event => event.name));
+    assert.ok(names.includes("configuration.rejected"));
+});
+
+Then("it takes the good version 3", function (this: World) {
+    const three = makeVersion(3);
+    const { manifest, hash, parts } = three;
+    receive(this, "b", { kind: MessageKind.Snapshot, manifest, manifestHash: hash, parts });
+    assert.equal(this.host.held?.manifest.version, 3);
+    assert.equal(this.host.rejected, undefined);
+});
+
+When("it receives the step from version 2 to version 3", function (this: World) {
+    receive(this, "b", updateOf(makeVersion(2), makeVersion(3)));
+});
+
+Then("it pulls from the sender and names version 1", function (this: World) {
+    assert.equal(this.host.held?.manifest.version, 1);
+    assert.deepEqual(this.effects.at(-1)?.messages, [
+        { to: { host: "b" }, message: { kind: MessageKind.Pull, held: 1 } },
+    ]);
+});
+
+const messagesOf = (world: World, kind: PeerMessage["kind"]) =>
+    world.effects.flatMap(effects => effects.messages).filter(({ message }) => message.kind === kind);
+
+When("it receives version 2 with corrupt parts and every neighbour lacks them", function (this: World) {
+    const two = makeVersion(2);
+    const corrupt = two.parts.map(part => ({ ...part, bytes: Buffer.from("corrupt") }));
+    receive(this, "b", { kind: MessageKind.Announce, version: 2, manifestHash: two.hash });
+    receive(this, "a", updateOf(this.one, two, corrupt));
+    for (const host of ["a", "b"]) {
+        const asked = messagesOf(this, MessageKind.PartRequest).at(-1);
+        assert.deepEqual(asked?.to, { host });
+        const missing = asked?.message.kind === MessageKind.PartRequest ? asked.message.hashes : [];
+        receive(this, host, { kind: MessageKind.Parts, parts: [], missing });
+    }
+});
+
+Then("each neighbour was asked once for each part, then the object store", function (this: World) {
+    const asked = messagesOf(this, MessageKind.PartRequest).flatMap(({ to, message }) =>
+        message.kind === MessageKind.PartRequest
+            ? message.hashes.map(hash => `${JSON.stringify(to)} ${hash}`)
+            : [],
+    );
+    assert.equal(new Set(asked).size, asked.length);
+    const reads = this.effects.flatMap(effects => effects.reads);
+    assert.equal(new Set(reads).size, reads.length);
+    assert.equal(reads.length * 2, asked.length);
+    assert.ok(reads.length > 0);
+    assert.equal(this.host.held?.manifest.version, 1);
+});
+
+Then("version 2 is in force after the object store answered", function (this: World) {
+    const two = makeVersion(2);
+    for (const hash of this.effects.flatMap(effects => effects.reads)) {
+        const bytes = two.parts.find(part => part.hash === hash)?.bytes;
+        assert.ok(bytes !== undefined);
+        feed(this, { kind: InputKind.StoredObject, hash, bytes });
+    }
+    assert.equal(this.host.held?.manifest.version, 2);
+});
+
+When("two neighbours announce version 2 and do not answer", function (this: World) {
+    const two = makeVersion(2);
+    for (const host of ["a", "b"]) {
+        receive(this, host, { kind: MessageKind.Announce, version: 2, manifestHash: two.hash });
+    }
+    for (let i = 0; i < 60; i += 1) {
+        this.now += 100;
+        feed(this, { kind: InputKind.Tick });
+    }
+});
+
+Then("both are pulled from in turn and the object store is read last", function (this: World) {
+    const pulled = messagesOf(this, MessageKind.Pull).map(({ to }) => to);
+    assert.deepEqual(pulled, [{ host: "a" }, { host: "b" }]);
+    assert.deepEqual(
+        this.effects.flatMap(effects => effects.reads),
+        [makeVersion(2).hash],
+    );
+});
+
+When("{int} neighbours without a version pull from it", function (this: World, count: number) {
+    const hosts = Array.from({ length: count }, (_, i) => `n${i}`);
+    feed(this, { kind: InputKind.Links, links: linksTo(hosts) });
+    hosts.forEach(host => receive(this, host, { kind: MessageKind.Pull, held: 0 }));
+});
+
+Then(
+    "{int} snapshots are sent, {int} wait and {int} are refused with an event",
+    function (this: World, sent: number, waiting: number, refused: number) {
+        assert.equal(messagesOf(this, MessageKind.Snapshot).length, sent);
+        assert.equal(this.host.waitingSnapshots.size, waiting);
+        const events = this.effects.flatMap(effects => effects.events);
+        assert.equal(events.filter(event => event.name === "configuration.snapshotRefused").length, refused);
+    },
+);
+
+Then("a further snapshot is sent when one of them is confirmed", function (this: World) {
+    const before = messagesOf(this, MessageKind.Snapshot).length;
+    receive(this, "n3", { kind: MessageKind.Heartbeat, version: 1, manifestHash: this.one.hash });
+    assert.equal(messagesOf(this, MessageKind.Snapshot).length, before + 1);
+});
+
+When("{int} steps with large parts are kept", function (this: World, count: number) {
+    this.kept = noKeptSteps;
+    for (let version = 1; version <= count; version += 1) {
+        const bytes = new Uint8Array(400_000).fill(version);
+        const hash = contentHash(bytes);
+        const changed = { "service/s": { hash, references: [], neededBy: [] } };
+        const step = { base: version - 1, version, manifestHash: "", delta: { changed, removed: [] } };
+        this.kept = keepSteps(this.kept, [step], new Map([[hash, bytes]]));
+    }
+});
+
+Then(
+    "at most {int} steps and {int} bytes are kept without a gap",
+    function (this: World, steps: number, bytes: number) {
+        const { kept } = this;
+        assert.ok(kept.steps.length > 0 && kept.steps.length <= steps);
+        assert.ok(kept.bytes <= bytes);
+        assert.equal(kept.steps.at(-1)?.version, 200);
+        assert.equal(kept.parts.size, kept.steps.length);
+        kept.steps.slice(1).forEach((step, i) => assert.equal(step.base, kept.steps[i]?.version));
+    },
+);
+
+When("a backend server of another service starts on it", function (this: World) {
+    receive(this, "b", { kind: MessageKind.Heartbeat, version: 1, manifestHash: this.one.hash });
+    feed(this, { kind: InputKind.Interest, interest: { services: ["s0", "s1"], outsideCallers: false } });
+});
+
+Then("it asks for the missing parts and keeps version 1 in force meanwhile", function (this: World) {
+    assert.equal(messagesOf(this, MessageKind.PartRequest).length, 1);
+    assert.equal(this.host.held?.resources.size, resourcesOfS0);
+    assert.equal(this.host.held?.manifest.version, 1);
+});
+
+Then("it holds the resources of both services when the parts arrive", function (this: World) {
+    receive(this, "b", { kind: MessageKind.Parts, parts: this.one.parts, missing: [] });
+    assert.equal(this.host.held?.manifest.version, 1);
+    assert.ok(this.host.held?.resources.has("route/s1"));
+    assert.ok(this.host.held?.resources.has("route/s0"));
+});
+
+Given("a distributing host without a version and with floor {int}", function (this: World, floor: number) {
+    this.now = 1_000;
+    this.effects = [];
+    const interest = { services: ["s0"], outsideCallers: false };
+    this.host = createDistribution({ spread: "eager", region: "r1", interest });
+    feed(this, { kind: InputKind.Links, links: linksTo(["a"]) });
+    feed(this, { kind: InputKind.Floor, floor });
+});
+
+When("a neighbour sends it a snapshot of version {int}", function (this: World, version: number) {
+    const { manifest, hash, parts } = makeVersion(version);
+    receive(this, "a", { kind: MessageKind.Snapshot, manifest, manifestHash: hash, parts });
+});
+
+Then("it holds no version", function (this: World) {
+    assert.equal(this.host.held, undefined);
+});
--- /dev/null
+++ b/packages/core/features/support/versions.ts
@@ -0,0 +1,66 @@
+import {
+    assembleConfiguration,
+    createDistribution,
+    generateConfiguration,
+    manifestHashOf,
+    neededResources,
+    resolveAnswers,
+    type Answers,
+    type Distribution,
+    type Interest,
+    type Link,
+    type Manifest,
+    type Part,
+} from "@tanagertray/core";
+import assert from "node:assert/strict";
+
+export interface Version {
+    readonly manifest: Manifest;
+    readonly hash: string;
+    readonly parts: readonly Part[];
+}
+
+/** Answers whose services change with the version; every third version changes the set of callers. */
+export function makeAnswers(version: number): Answers {
+    const operations = [{ name: "read", method: "GET", path: "/**", repeatable: true }];
+    const services = Object.fromEntries(
+        ["s0", "s1", "s2"].map((name, i) => [
+            name,
+            { slots: 10 + (version % (i + 2)), connections: 100 + version, operations },
+        ]),
+    );
+    const callers = {
+        [`crews-${Math.floor(version / 3)}`]: { mayCall: ["s0", "s1"] },
+        ledger: { service: "s0", mayCall: ["s2"] },
+    };
+    return { deployment: "test", services, callers };
+}
+
+export function makeVersion(version: number): Version {
+    const { manifest, parts } = generateConfiguration(resolveAnswers(makeAnswers(version)), { version });
+    return {
+        manifest,
+        hash: manifestHashOf(manifest),
+        parts: [...parts].map(([hash, bytes]) => ({ hash, bytes })),
+    };
+}
+
+export function bytesOf(version: Version, name: string): Uint8Array {
+    const hash = version.manifest.entries[name]?.hash;
+    const part = version.parts.find(candidate => candidate.hash === hash);
+    assert.ok(part !== undefined, name);
+    return part.bytes;
+}
+
+/** A host that holds the version already. */
+export function createHolder(version: Version, interest: Interest): Distribution {
+    const { manifest, hash } = version;
+    const parts = new Map(version.parts.map(part => [part.hash, part.bytes]));
+    const needed = neededResources(manifest, interest);
+    const held = assembleConfiguration({ manifest, manifestHash: hash, parts, needed }).unsafeCoerce();
+    return createDistribution({ spread: "eager", region: "r1", interest, held });
+}
+
+export function linksTo(hosts: readonly string[], region = "r1"): ReadonlyMap<string, Link> {
+    return new Map(hosts.map(host => [host, { host, region }]));
+}
--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -17,3 +17,33 @@
 
 /** Reads of the head row that a writer makes to learn whether its lost write took effect. */
 export const maxReadBackAttempts = 5;
+
+/** Update steps that a host keeps, to bring a peer forward without a snapshot. */
+export const maxKeptSteps = 64;
+
+/** Size of the kept steps with their parts, in bytes. The memory of a daemon is bounded to 64 MB. */
+export const maxKeptBytes = 8_388_608;
+
+/** Snapshots that a host serves at a time, so that a rejoining failure domain does not overload a relay. */
+export const maxSnapshotsInProgress = 16;
+
+/** Peers that wait for a snapshot; further ones are referred to other neighbours. */
+export const maxSnapshotsWaiting = 64;
+
+/** Time after which a snapshot that was not confirmed no longer counts as in progress, in milliseconds. */
+export const snapshotDeadlineMs = 5_000;
+
+/** Time after which a request to a peer or the object store is repeated elsewhere, in milliseconds. */
+export const fetchDeadlineMs = 2_500;
+
+/** Delay before the sources of a part or version are tried again after all of them failed, in milliseconds. */
+export const fetchRetryMs = 1_000;
+
+/** Requests for parts in flight at a time. */
+export const maxPartsInFlight = 256;
+
+/** Parts that the host which reads a version from the object store fetches only to forward them. */
+export const maxForwardedParts = 256;
+
+/** Refused manifests that a host remembers, so that it does not fetch them again. */
+export const maxRememberedRejections = 16;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -24,3 +24,6 @@
 export * from "./joining/readiness.js";
 export * from "./telemetry/event.js";
 export * from "./telemetry/span.js";
+export * from "./distribution/keptSteps.js";
+export * from "./distribution/state.js";
+export * from "./distribution/advance.js";
