feat(distribution): configuration and readiness controllers around pure decisions

Cause: the configuration controller read the object store alone, and a host was ready as soon as it held the head, without the word of its peers. Change: the configuration controller carries board sections into advanceDistribution and its effects back. decideReadiness implements floors from the head row and watermark answers, the three conditions of joining and the fence after a pause; the readiness controller asks for watermarks and answers them. A head read waits up to 1 s for the peers' answers, because it may be stale.

--- /dev/null
+++ b/packages/core/features/joining.feature
@@ -0,0 +1,70 @@
+Feature: A restarted or paused host serves no version that is too old
+
+    Scenario Outline: A restarted host next to a lagging peer while the platform is down, <order>
+        # Guards against a host that goes back to the version of a lagging peer, in either order of answers.
+        Given a joining host while the platform is down
+        When its lagging peer and its current peer answer in the order "<order>"
+        And the joining host gets version 5 after 6000 ms
+        Then the joining host is "joining" with floor 7
+        And the joining host gets version 7 after 7000 ms
+        And the joining host is "ready" with floor 7
+
+        Examples:
+            | order         |
+            | lagging first |
+            | current first |
+
+    Scenario: A stale head row does not admit a host below its high-water mark
+        # Guards against a stale read of the head row that arrives before the peers' answers.
+        Given a joining host while the platform is down
+        When the joining host reads head version 5 and gets version 5 after 50 ms
+        Then the joining host is "joining" with floor 5
+        When its lagging peer and its current peer answer in the order "lagging first"
+        Then the joining host is "joining" with floor 7
+
+    Scenario: The version of the head row is enough when the peers are silent
+        # Guards against a lone host that never serves.
+        Given a joining host while the platform is down
+        When the joining host reads head version 5 and gets version 5 after 1000 ms
+        Then the joining host is "ready" with floor 5
+
+    Scenario: A host without a version never serves
+        # Guards against a host that admits calls without routes.
+        Given a joining host while the platform is down
+        When the joining host gets version 0 after 60000 ms
+        Then the joining host is "joining" with floor 0
+
+    Scenario: After 30 s the highest version found is used, but none below the own high-water mark
+        # Guards against a host that waits for ever for a version that nobody can provide, or goes back then.
+        Given a joining host while the platform is down
+        When its lagging peer and its current peer answer in the order "lagging first"
+        And the joining host gets version 5 after 29900 ms
+        Then the joining host is "joining" with floor 7
+        When the joining host gets version 5 after 30000 ms
+        Then the joining host is "joining" with floor 6
+        When the joining host gets version 6 after 30100 ms
+        Then the joining host is "ready" with floor 6
+
+    Scenario: Unanswered peers are asked again once a second
+        # Guards against a request that was lost, and against a flood of requests.
+        Given a joining host while the platform is down
+        Then 11 watermark requests leave the joining host in 10 s when only one of two peers answers
+
+    Scenario Outline: After a pause of <paused> ms and <word> the host is <state>
+        # Guards against a host that serves an old version after it was paused, or stays fenced for ever.
+        Given a ready host that holds version 5
+        When it was paused for <paused> ms and then hears "<word>"
+        Then the joining host is "<state>" with floor 5
+
+        Examples:
+            | paused | word                         | state  |
+            | 3000   | nothing                      | ready  |
+            | 3001   | nothing                      | fenced |
+            | 3001   | a buffered heartbeat         | fenced |
+            | 3001   | a heartbeat of version 5     | ready  |
+            | 3001   | a heartbeat of version 6     | fenced |
+            | 3001   | a watermark of version 5     | ready  |
+            | 3001   | a head read of version 5     | ready  |
+            | 3001   | a head read before the pause | fenced |
+            | 3001   | nothing for 5 s              | ready  |
+            | 3001   | a shutdown request           | draining |
--- /dev/null
+++ b/packages/core/features/steps/joining.ts
@@ -0,0 +1,142 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import {
+    decideReadiness,
+    hostsToAsk,
+    MessageKind,
+    startJoining,
+    takeConfirmation,
+    takeWatermark,
+    type Joining,
+    type ReadinessFacts,
+} from "@tanagertray/core";
+import assert from "node:assert/strict";
+
+interface World {
+    joining: Joining;
+    facts: ReadinessFacts;
+}
+
+const start = 1_000_000;
+
+function decide(world: World, change: Partial<ReadinessFacts>): void {
+    world.facts = { ...world.facts, ...change };
+    world.joining = decideReadiness(world.joining, world.facts);
+}
+
+function answer(world: World, from: string, version: number, held: number): void {
+    const message = { kind: MessageKind.Watermark, host: "self", version, incarnation: 1, held };
+    world.joining = takeWatermark(world.joining, from, message, world.facts.now);
+}
+
+Given("a joining host while the platform is down", function (this: World) {
+    this.joining = startJoining(start);
+    this.facts = {
+        now: start,
+        pausedForMs: 0,
+        held: 0,
+        head: undefined,
+        headReadAt: undefined,
+        reachable: false,
+        linkedHosts: ["lagging", "current"],
+        shutdownRequested: false,
+    };
+    decide(this, {});
+});
+
+const answers: Readonly<Record<string, (world: World) => void>> = {
+    lagging: world => answer(world, "lagging", 4, 5),
+    // Saw this host hold version 6 before it restarted.
+    current: world => answer(world, "current", 6, 7),
+};
+
+When(
+    "its lagging peer and its current peer answer in the order {string}",
+    function (this: World, order: string) {
+        const hosts = order === "lagging first" ? ["lagging", "current"] : ["current", "lagging"];
+        for (const host of hosts) {
+            answers[host]?.(this);
+            decide(this, {});
+        }
+    },
+);
+
+When("the joining host gets version {int} after {int} ms", function (this: World, held: number, ms: number) {
+    decide(this, { held, now: start + ms });
+});
+
+When(
+    "the joining host reads head version {int} and gets version {int} after {int} ms",
+    function (this: World, head: number, held: number, ms: number) {
+        decide(this, { held, head, headReadAt: start + ms, reachable: true, now: start + ms });
+    },
+);
+
+Then("the joining host is {string} with floor {int}", function (this: World, state: string, floor: number) {
+    assert.equal(this.joining.readiness.state, state, this.joining.readiness.reason);
+    assert.equal(this.joining.readiness.floor, floor);
+});
+
+Then(
+    "{int} watermark requests leave the joining host in 10 s when only one of two peers answers",
+    function (this: World, expected: number) {
+        let sent = 0;
+        for (let ms = 0; ms < 10_000; ms += 100) {
+            decide(this, { now: start + ms });
+            const { joining, hosts } = hostsToAsk(this.joining, this.facts);
+            this.joining = joining;
+            sent += hosts.length;
+            if (hosts.includes("current")) {
+                answer(this, "current", 0, 0);
+            }
+        }
+        assert.equal(sent, expected);
+    },
+);
+
+Given("a ready host that holds version {int}", function (this: World, held: number) {
+    this.joining = startJoining(start);
+    this.facts = {
+        now: start + 2_000,
+        pausedForMs: 0,
+        held,
+        head: held,
+        headReadAt: start + 1_500,
+        reachable: true,
+        linkedHosts: ["current"],
+        shutdownRequested: false,
+    };
+    decide(this, {});
+    assert.equal(this.joining.readiness.state, "ready");
+});
+
+const heard: Readonly<Record<string, (world: World) => void>> = {
+    nothing: () => {},
+    "a buffered heartbeat": world => heartbeat(world, 5, 10),
+    "a heartbeat of version 5": world => heartbeat(world, 5, 300),
+    "a heartbeat of version 6": world => heartbeat(world, 6, 300),
+    "a watermark of version 5": world => {
+        decide(world, { now: world.facts.now + 300, pausedForMs: 0 });
+        assert.deepEqual(hostsToAsk(world.joining, world.facts).hosts, ["current"]);
+        answer(world, "current", 5, 5);
+    },
+    "a head read of version 5": world => {
+        const now = world.facts.now + 300;
+        decide(world, { now, headReadAt: now, pausedForMs: 0 });
+    },
+    "a head read before the pause": world => decide(world, { now: world.facts.now + 300, pausedForMs: 0 }),
+    "nothing for 5 s": world => decide(world, { now: world.facts.now + 5_000, pausedForMs: 0 }),
+    "a shutdown request": world => decide(world, { shutdownRequested: true }),
+};
+
+function heartbeat(world: World, version: number, afterMs: number): void {
+    world.joining = takeConfirmation(world.joining, version, world.facts.now + afterMs);
+    decide(world, { now: world.facts.now + afterMs, pausedForMs: 0 });
+}
+
+When("it was paused for {int} ms and then hears {string}", function (this: World, ms: number, word: string) {
+    decide(this, { now: this.facts.now + ms, pausedForMs: ms });
+    const hear = heard[word];
+    assert.ok(hear !== undefined);
+    hear(this);
+    decide(this, {});
+});
--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -47,3 +47,24 @@
 
 /** Refused manifests that a host remembers, so that it does not fetch them again. */
 export const maxRememberedRejections = 16;
+
+/** Pause of the process above which a host is fenced, in milliseconds. */
+export const longestPauseMs = 3_000;
+
+/** Time after a pause in which a peer or the platform can confirm the version, in milliseconds. */
+export const confirmationDeadlineMs = 5_000;
+
+/** Time after a pause in which messages that arrived during it are delivered, in milliseconds. */
+export const bufferedMessagesMs = 200;
+
+/** Time that a starting host gives its peers although it holds the version of the head row, in milliseconds. */
+export const peerAnswerGraceMs = 1_000;
+
+/** Time in which a starting host collects its peers' answers while the platform is unreachable, in milliseconds. */
+export const peerAnswersDeadlineMs = 5_000;
+
+/** Time after which a starting host uses the highest version that it found, in milliseconds. */
+export const joiningDeadlineMs = 30_000;
+
+/** Period at which an unanswered watermark request is repeated, in milliseconds. */
+export const watermarkRetryMs = 1_000;
--- a/packages/daemon/src/adapters/platform.ts
+++ b/packages/daemon/src/adapters/platform.ts
@@ -48,7 +48,7 @@
         const head = result.answer === PlatformAnswer.Row ? (result.row as Head) : undefined;
         // The platform may serve an older row than before.
         const newer = head !== undefined && head.version > (before.head?.version ?? 0) ? head : before.head;
-        state.write({ ...before, headRead: true, head: newer });
+        state.write({ ...before, headRead: true, headReadAt: Date.now(), head: newer });
     }
 
     const state_ = () => board.read("platformState");
--- a/packages/daemon/src/board.ts
+++ b/packages/daemon/src/board.ts
@@ -44,6 +44,8 @@
     readonly reachable: boolean;
     /** Whether a read of the head row was answered since the start. */
     readonly headRead: boolean;
+    /** Milliseconds since the epoch at the last answered read of the head row. */
+    readonly headReadAt: number | undefined;
     readonly since: number;
 }
 
@@ -132,7 +134,13 @@
             peerLinks: new Map(),
             membership: { self: firstRecord(settings, now), records: new Map(), watermarks: new Map() },
             topology: { headReader: true, domainRelay: false, regionRelay: false, neighbours: [] },
-            platformState: { head: undefined, reachable: false, headRead: false, since: now },
+            platformState: {
+                head: undefined,
+                reachable: false,
+                headRead: false,
+                headReadAt: undefined,
+                since: now,
+            },
             configuration: { held: undefined },
             readiness: { state: ReadinessState.Joining, reason: "starting", floor: 0, since: now },
             shutdown: { requested: false },
--- a/packages/daemon/src/controllers/configuration.ts
+++ b/packages/daemon/src/controllers/configuration.ts
@@ -1,95 +1,106 @@
 import {
-    assembleConfiguration,
-    contentHash,
-    neededResources,
+    advanceDistribution,
+    createDistribution,
+    EventLevel,
+    InputKind,
     PlatformAnswer,
     PlatformOperation,
-    type Head,
-    type Manifest,
+    type Distribution,
+    type DistributionInput,
+    type Effects,
+    type Interest,
     type PlatformReply,
 } from "@tanagertray/core";
 import type { Board } from "../board.js";
 import type { Closeable } from "../closeable.js";
 
-interface Candidate {
-    readonly head: Head;
-    readonly manifest?: Manifest;
-    readonly parts: Map<string, Uint8Array>;
-    readonly waiting: Set<string>;
-}
+/** Prefix of the ids of object reads, followed by the hash. */
+const readIdPrefix = "object-";
 
-/** Fetches the version named by the head row and puts it in force when it is whole. */
+/** Carries inputs from the blackboard to the distribution state machine, and its effects back. */
 export function createConfigurationController(board: Board): Closeable {
     const configuration = board.claimValue("configuration");
+    const outbox = board.claimFeed("configurationOutbox");
     const reads = board.claimFeed("objectReads");
-    let candidate: Candidate | undefined;
-
-    function considerHead(): void {
-        const head = board.read("platformState").head;
-        const held = board.read("configuration").held?.manifest.version ?? 0;
-        if (head === undefined || head.version <= held || head.version === candidate?.head.version) {
-            return;
-        }
-        candidate = { head, parts: new Map(), waiting: new Set([head.manifestHash]) };
-        readObject(head.manifestHash);
-    }
+    const events = board.claimFeed("configurationEvents");
+    const { spread, region } = board.read("settings");
+    let state = createDistribution({ spread, region, interest: readInterest(board) });
 
-    function readObject(hash: string): void {
-        reads.append({ id: `object-${hash}`, request: { operation: PlatformOperation.ReadObject, hash } });
+    function take(input: DistributionInput): void {
+        const before = state;
+        const progress = advanceDistribution(before, input, {
+            now: board.read("clock").now,
+            random: Math.random,
+        });
+        state = progress.state;
+        writeChange(before);
+        carryOut(progress.effects);
     }
 
-    function takeReply(reply: PlatformReply): void {
-        const hash = reply.id.startsWith("object-") ? reply.id.slice("object-".length) : undefined;
-        if (hash === undefined || candidate === undefined || !candidate.waiting.delete(hash)) {
-            return;
-        }
-        if (reply.result.answer !== PlatformAnswer.Object || contentHash(reply.result.bytes) !== hash) {
-            candidate = undefined;
-            return;
-        }
-        if (hash === candidate.head.manifestHash) {
-            takeManifest(JSON.parse(Buffer.from(reply.result.bytes).toString("utf8")) as Manifest);
-        } else {
-            candidate.parts.set(hash, reply.result.bytes);
+    /** Written before the messages, so that no peer hears of a version that is not yet in force here. */
+    function writeChange(before: Distribution): void {
+        const { held, rejected } = state;
+        if (held !== before.held || rejected !== before.rejected) {
+            configuration.write({ held, ...(rejected === undefined ? {} : { rejected }) });
         }
-        applyWhenWhole();
     }
 
-    function takeManifest(manifest: Manifest): void {
-        const current = candidate as Candidate;
-        candidate = { ...current, manifest };
-        for (const name of neededResources(manifest, interest())) {
-            const hash = manifest.entries[name]?.hash as string;
-            current.waiting.add(hash);
-            readObject(hash);
+    function carryOut(effects: Effects): void {
+        effects.messages.forEach(message => outbox.append(message));
+        effects.events.forEach(event => events.append(event));
+        for (const hash of effects.reads) {
+            const request = { operation: PlatformOperation.ReadObject, hash } as const;
+            reads.append({ id: `${readIdPrefix}${hash}`, request });
         }
     }
 
-    function interest() {
-        const services = [...board.read("backendServers").values()].map(server => server.service);
-        return { services, outsideCallers: board.read("settings").outsideCallers };
+    function takeReply({ id, result }: PlatformReply): void {
+        if (!id.startsWith(readIdPrefix)) {
+            return;
+        }
+        const hash = id.slice(readIdPrefix.length);
+        if (result.answer === PlatformAnswer.Object) {
+            return take({ kind: InputKind.StoredObject, hash, bytes: result.bytes });
+        }
+        const fields = { hash, answer: result.answer };
+        events.append({ name: "configuration.objectUnavailable", level: EventLevel.Warn, fields });
+        take({ kind: InputKind.StoredObject, hash });
     }
 
-    function applyWhenWhole(): void {
-        if (candidate?.manifest === undefined || candidate.waiting.size > 0) {
-            return;
+    function takeInterest(): void {
+        const interest = readInterest(board);
+        if (!equalInterests(interest, state.interest)) {
+            take({ kind: InputKind.Interest, interest });
         }
-        const { manifest, parts, head } = candidate;
-        const needed = neededResources(manifest, interest());
-        assembleConfiguration({ manifest, manifestHash: head.manifestHash, parts, needed })
-            .ifRight(held => configuration.write({ held }))
-            .ifLeft(reason =>
-                configuration.update(state => ({
-                    ...state,
-                    rejected: { version: manifest.version, reason: reason.message },
-                })),
-            );
-        candidate = undefined;
     }
 
     const subscriptions = [
-        board.observe(["platformState"], considerHead),
+        board.observe(["platformState"], () => {
+            const { head } = board.read("platformState");
+            if (head !== undefined) {
+                take({ kind: InputKind.Head, head });
+            }
+        }),
         board.follow("platformReplies", takeReply),
+        board.follow("peerInbox", incoming => take({ kind: InputKind.Message, incoming })),
+        board.observe(["peerLinks"], () => take({ kind: InputKind.Links, links: board.read("peerLinks") })),
+        board.observe(["backendServers"], takeInterest),
+        board.observe(["readiness"], () => {
+            const { floor } = board.read("readiness");
+            if (floor !== state.floor) {
+                take({ kind: InputKind.Floor, floor });
+            }
+        }),
+        board.observe(["clock"], () => take({ kind: InputKind.Tick })),
     ];
     return { close: () => subscriptions.forEach(subscription => subscription.close()) };
 }
+
+function readInterest(board: Board): Interest {
+    const services = [...board.read("backendServers").values()].map(server => server.service);
+    return { services: [...new Set(services)].sort(), outsideCallers: board.read("settings").outsideCallers };
+}
+
+function equalInterests(a: Interest, b: Interest): boolean {
+    return a.outsideCallers === b.outsideCallers && a.services.join("\n") === b.services.join("\n");
+}
--- a/packages/daemon/src/controllers/readiness.ts
+++ b/packages/daemon/src/controllers/readiness.ts
@@ -1,24 +1,103 @@
-import { ReadinessState } from "@tanagertray/core";
+import {
+    decideReadiness,
+    EventLevel,
+    hostsToAsk,
+    MessageKind,
+    startJoining,
+    takeConfirmation,
+    takeWatermark,
+    type IncomingMessage,
+    type Joining,
+    type PeerMessage,
+    type ReadinessFacts,
+} from "@tanagertray/core";
 import type { Board } from "../board.js";
 import type { Closeable } from "../closeable.js";
 
-/** Decides whether this host admits calls. */
+type MessageOf<K> = Extract<PeerMessage, { kind: K }>;
+type Handler<M> = (from: string, message: M, receivedAt: number) => void;
+
+/** Decides whether this host admits calls, and answers peers that join. */
 export function createReadiness(board: Board): Closeable {
     const readiness = board.claimValue("readiness");
-    const subscription = board.observe(["configuration", "platformState", "shutdown"], () => {
-        const floor = board.read("platformState").head?.version ?? 0;
-        const held = board.read("configuration").held?.manifest.version ?? 0;
-        const draining = board.read("shutdown").requested;
-        const ready = held > 0 && held >= floor;
-        const state = draining
-            ? ReadinessState.Draining
-            : ready
-              ? ReadinessState.Ready
-              : ReadinessState.Joining;
-        if (state !== board.read("readiness").state) {
-            const reason = `holds version ${held}, floor ${floor}`;
-            readiness.write({ state, reason, floor, since: board.read("clock").now });
+    const outbox = board.claimFeed("joiningOutbox");
+    const events = board.claimFeed("readinessEvents");
+    const self = board.read("settings").host;
+    let joining = startJoining(board.read("clock").now);
+
+    const handlers: { [K in PeerMessage["kind"]]?: Handler<MessageOf<K>> } = {
+        [MessageKind.WatermarkRequest]: (from, { host }) => answerRequest(from, host),
+        [MessageKind.Watermark]: (from, message, receivedAt) => {
+            if (message.host === self) {
+                joining = takeWatermark(joining, from, message, receivedAt);
+                decide();
+            }
+        },
+        [MessageKind.Heartbeat]: (_from, { version }, receivedAt) => {
+            joining = takeConfirmation(joining, version, receivedAt);
+            decide();
+        },
+    };
+
+    function answerRequest(from: string, host: string): void {
+        const { records, watermarks } = board.read("membership");
+        const message = {
+            kind: MessageKind.Watermark,
+            host,
+            version: watermarks.get(host) ?? 0,
+            incarnation: records.get(host)?.incarnation ?? 0,
+            held: heldVersion(board),
+        };
+        outbox.append({ to: { host: from }, message });
+    }
+
+    function takeMessage({ from, receivedAt, message }: IncomingMessage): void {
+        (handlers[message.kind] as Handler<PeerMessage> | undefined)?.(from, message, receivedAt);
+    }
+
+    function decide(): void {
+        const facts = readFacts(board);
+        const before = joining.readiness;
+        const asked = hostsToAsk(decideReadiness(joining, facts), facts);
+        joining = asked.joining;
+        const message = { kind: MessageKind.WatermarkRequest, host: self };
+        asked.hosts.forEach(host => outbox.append({ to: { host }, message }));
+        if (joining.readiness !== before) {
+            readiness.write(joining.readiness);
+            noteChange(before, joining);
+        }
+    }
+
+    function noteChange(before: Joining["readiness"], after: Joining): void {
+        const { state, reason, floor } = after.readiness;
+        if (state !== before.state) {
+            const fields = { before: before.state, reason, floor, held: heldVersion(board) };
+            events.append({ name: `readiness.${state}`, level: EventLevel.Info, fields });
         }
-    });
-    return { close: () => subscription.close() };
+    }
+
+    const subscriptions = [
+        board.observe(["clock", "configuration", "platformState", "peerLinks", "shutdown"], decide),
+        board.follow("peerInbox", takeMessage),
+    ];
+    return { close: () => subscriptions.forEach(subscription => subscription.close()) };
+}
+
+function heldVersion(board: Board): number {
+    return board.read("configuration").held?.manifest.version ?? 0;
+}
+
+function readFacts(board: Board): ReadinessFacts {
+    const { now, pausedForMs } = board.read("clock");
+    const { head, headReadAt, reachable } = board.read("platformState");
+    return {
+        now,
+        pausedForMs,
+        held: heldVersion(board),
+        head: head?.version,
+        headReadAt,
+        reachable,
+        linkedHosts: [...board.read("peerLinks").keys()],
+        shutdownRequested: board.read("shutdown").requested,
+    };
 }
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -1,12 +1,8 @@
-/** Settings of one daemon as an operator writes them, and the same with every default resolved. */
+import { Spread } from "@tanagertray/core";
+
+export { Spread };
 
-export const Spread = {
-    /** Pushes a new version at once: shortest convergence time. */
-    Eager: "eager",
-    /** Announces a new version and lets each neighbour pull it once: fewest control bytes. */
-    Lazy: "lazy",
-} as const;
-export type Spread = (typeof Spread)[keyof typeof Spread];
+/** Settings of one daemon as an operator writes them, and the same with every default resolved. */
 
 export const TraceExporter = { None: "none", Log: "log", Otlp: "otlp" } as const;
 export type TraceExporter = (typeof TraceExporter)[keyof typeof TraceExporter];
