--- a/packages/core/src/revision/listing.ts
+++ b/packages/core/src/revision/listing.ts
@@ -1,4 +1,5 @@
 import { Left, Right } from "purify-ts/Either";
+import { headHistoryLength } from "../constants.js";
 import {
     PlatformAnswer,
     PlatformOperation,
@@ -38,8 +39,9 @@
         return finished(Left(platformProblem(result, "the head row")));
     }
     const head = result.answer === PlatformAnswer.Row ? (result.row as Head) : undefined;
-    // Whether an older revision was accepted is not known, and thousands of them are kept.
-    const oldest = head?.history.at(-1)?.revision ?? 1;
+    // A full history no longer tells whether an older revision was accepted.
+    const isTruncated = (head?.history.length ?? 0) >= headHistoryLength;
+    const oldest = isTruncated ? (head?.history.at(-1)?.revision ?? 1) : 1;
     const next: PlatformRequest = {
         operation: PlatformOperation.ListRows,
         prefix: "revision/",
