--- a/packages/core/src/problem.ts
+++ b/packages/core/src/problem.ts
@@ -15,6 +15,7 @@
     WrongBase: "wrongBase",
     OlderVersion: "olderVersion",
     MalformedMessage: "malformedMessage",
+    MalformedResource: "malformedResource",
     Unauthorized: "unauthorized",
     Overloaded: "overloaded",
     TooLarge: "tooLarge",
--- a/packages/daemon/src/board.ts
+++ b/packages/daemon/src/board.ts
@@ -22,6 +22,7 @@
     type Revision,
     type ServiceAdmission,
     type ServiceTargets,
+    type RevisionDifference,
     type Span,
     type Topology,
     type Value,
@@ -49,9 +50,15 @@
 
 export interface PlatformState {
     readonly head: Head | undefined;
+    /** Entity tag of the head row, for conditional reads. */
+    readonly headTag: string | undefined;
     readonly reachable: boolean;
     /** Whether a read of the head row was answered since the start. */
     readonly headRead: boolean;
+    /** Reads of the head row that returned an older version than one already seen. */
+    readonly staleReads: number;
+    /** Milliseconds since the epoch at the last answered read of the head row. */
+    readonly headReadAt: number | undefined;
     readonly since: number;
 }
 
@@ -81,9 +88,12 @@
     readonly revision?: number;
 }
 
+/** The revision submitted or rejected, the head after an acceptance, a list, or a difference. */
+export type RevisionOutcome = Revision | Head | readonly Revision[] | RevisionDifference;
+
 export interface RevisionReply {
     readonly id: string;
-    readonly outcome: Either<Problem, Revision | Head | readonly Revision[]>;
+    readonly outcome: Either<Problem, RevisionOutcome>;
 }
 
 /** Every section of a daemon's blackboard. `docs/design.md` names the writer of each. */
@@ -154,7 +164,15 @@
             },
             topology: { headReader: true, domainRelay: false, regionRelay: false, neighbours: [] },
             domainAddresses: [],
-            platformState: { head: undefined, reachable: false, headRead: false, since: now },
+            platformState: {
+                head: undefined,
+                headTag: undefined,
+                staleReads: 0,
+                reachable: false,
+                headRead: false,
+                headReadAt: undefined,
+                since: now,
+            },
             configuration: { held: undefined },
             readiness: { state: ReadinessState.Joining, reason: "starting", floor: 0, since: now },
             shutdown: { requested: false },
