refactor(daemon): explanations and routing use the targets that calls use

Cause: explain derived the hosts by itself and matched paths by overlap, and the routing controller found all targets again with each heartbeat. Change: explain reads the section targets and matches as the data path does; targets are found only when records, own offers or the configuration changed. Conclusion: one derivation of targets.

--- a/packages/daemon/features/steps/admin.ts
+++ b/packages/daemon/features/steps/admin.ts
@@ -1,6 +1,7 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { generateConfiguration, resolveAnswers, type ReadinessState, type Resource } from "@tanagertray/core";
 import { createAdmin, createBoard, resolveSettings } from "@tanagertray/daemon";
+import { createRouting } from "@tanagertray/daemon/controllers/routing";
 import { Right } from "purify-ts/Either";
 import assert from "node:assert/strict";
 import { request as startRequest } from "node:http";
@@ -51,7 +52,7 @@
         this.commands.push(command);
         replies.append({ id: command.id, outcome: Right([]) });
     });
-    this.closeables = [await createAdmin(this.board)];
+    this.closeables = [createRouting(this.board), await createAdmin(this.board)];
 });
 
 After(async function (this: World) {
--- a/packages/daemon/src/adapters/admin/explain.ts
+++ b/packages/daemon/src/adapters/admin/explain.ts
@@ -1,5 +1,5 @@
 import {
-    pathsOverlap,
+    matchPath,
     problem,
     ProblemCode,
     ReadinessState,
@@ -53,7 +53,7 @@
     return readQuestion(query).map(question => {
         const route = findResource(board, ResourceKind.Route, question.service) as Route | undefined;
         const operation = route?.operations.find(
-            ({ method, path }) => method === question.method && pathsOverlap(path, question.path),
+            ({ method, path }) => method === question.method && matchPath(path, question.path),
         );
         const targets = describeTargets(board, question.service);
         const subject = { board, question, route, operation, targets };
--- a/packages/daemon/src/controllers/routing.ts
+++ b/packages/daemon/src/controllers/routing.ts
@@ -1,13 +1,29 @@
-import { findTargets } from "@tanagertray/core";
+import {
+    BackendServerState,
+    findTargets,
+    ResourceKind,
+    resourceName,
+    type HostRecord,
+} from "@tanagertray/core";
 import type { Board } from "../board.js";
 import type { Closeable } from "../closeable.js";
 
 /** Writes the hosts that offer each service, from the records of the hosts. */
 export function createRouting(board: Board): Closeable {
     const targets = board.claimValue("targets");
+    let seen: readonly unknown[] = [];
 
-    function findAll(): void {
+    /** The membership also changes with each heartbeat, which moves no target. */
+    function findWhenChanged(): void {
         const { self, records } = board.read("membership");
+        const inputs = [self, records, board.read("configuration").held, board.read("backendServers")];
+        if (inputs.some((input, at) => input !== seen[at])) {
+            seen = inputs;
+            findAll(self, records);
+        }
+    }
+
+    function findAll(self: HostRecord, records: ReadonlyMap<string, HostRecord>): void {
         const others = [...records.values()].filter(record => record.host !== self.host);
         targets.write(findTargets(self, [...others, { ...self, offers: ownOffers() }]));
     }
@@ -15,7 +31,7 @@
     /** Own backend servers count at once, before the own record was published. */
     function ownOffers() {
         const serving = [...board.read("backendServers").values()].filter(
-            server => server.state === "serving",
+            server => server.state === BackendServerState.Serving,
         );
         return [...new Set(serving.map(server => server.service))].map(service => {
             const ofService = serving.filter(server => server.service === service);
@@ -28,10 +44,13 @@
     }
 
     function slotsOf(service: string): number {
-        const resource = board.read("configuration").held?.resources.get(`service/${service}`);
-        return resource?.kind === "service" ? resource.slots : 1;
+        const resource = board
+            .read("configuration")
+            .held?.resources.get(resourceName(ResourceKind.Service, service));
+        return resource?.kind === ResourceKind.Service ? resource.slots : 1;
     }
 
-    const subscription = board.observe(["membership", "configuration", "backendServers"], findAll);
+    findWhenChanged();
+    const subscription = board.observe(["membership", "configuration", "backendServers"], findWhenChanged);
     return { close: () => subscription.close() };
 }
