fix(peers): a dialer does not prove a second link while the first awaits admission

Cause: the dialer asked only for open links before it proved its key. When the seeds name one host by two addresses and both are dialed in one tick, both handshakes get past that question before either is admitted, and the second link replaces the first. The acceptor cannot refuse, because a second link from one dialer is how a dialer that lost its link returns. Change: a link that awaits admission by the same host counts too. Conclusion: one link opens however many addresses name the host.

--- a/packages/daemon/src/adapters/peers/link.ts
+++ b/packages/daemon/src/adapters/peers/link.ts
@@ -65,7 +65,7 @@
     readonly self: Identity;
     readonly keys: readonly string[];
     readonly now: () => number;
-    /** Asked by the dialer before it proves a key: whether it has an open link to the host that it dialed itself. */
+    /** Asked by the dialer before it proves a key: whether it has a proved link to the host that it dialed itself. */
     readonly alreadyDialed: (host: string) => boolean;
     /** Asked once both sides have proved a key. `false` closes the link as a duplicate. */
     readonly admit: (link: Link) => boolean;
--- a/packages/daemon/src/adapters/peers/peers.ts
+++ b/packages/daemon/src/adapters/peers/peers.ts
@@ -99,7 +99,7 @@
         self,
         keys,
         now: () => board.read("clock").now,
-        alreadyDialed: host => context.links.get(host)?.role === Role.Dialer,
+        alreadyDialed: host => [...context.connections].some(other => isDialedTo(other, host)),
         admit: next => admit(context, next),
         deliver: (from, message, bytes) => deliver(context, from, message, bytes),
         refused: (from, fault) => noteRefusal(context, from, fault),
@@ -113,6 +113,12 @@
     context.connections.add(link);
 }
 
+/** Includes a link that the other host is about to admit, because several dials may run at once. */
+function isDialedTo({ role, phase, peer }: Link, host: string): boolean {
+    const proved = phase === LinkPhase.AwaitingAdmission || phase === LinkPhase.Open;
+    return role === Role.Dialer && proved && peer?.host === host;
+}
+
 function admit(context: Context, link: Link): boolean {
     const host = link.peer?.host ?? "";
     const open = context.links.get(host);
