fix(demo): convergence is measured from the confirmation, not from the end of the command

Cause: the logs of a traced run show version 2 applied by all 12 hosts within 38 ms over the links. The demo began to poll only when the process of the accept command had ended, 213 to 529 ms after its output, so its figure was mostly the end of that process. Ruled out: ticks of 100 ms and the head read period, which no step of the spread waits for; keep-alive of the command's connection (a trial with closed connections ended no sooner). Change: the demo polls from the first complete line of output, and prints how long a restarted daemon takes to be ready.

--- a/scripts/demo/fleet.ts
+++ b/scripts/demo/fleet.ts
@@ -15,9 +15,16 @@
 /** Addresses of other hosts that each daemon gets for its first links. */
 const firstLinks = 3;
 
+export interface Restart {
+    /** Whether the daemon ended by itself after SIGTERM. */
+    readonly graceful: boolean;
+    /** Time from the start of the process until it was ready. */
+    readonly readyMs: number;
+}
+
 export interface Fleet {
     start(signal: AbortSignal): Promise<void>;
-    restartDaemon(host: DemoHost, signal: AbortSignal): Promise<boolean>;
+    restartDaemon(host: DemoHost, signal: AbortSignal): Promise<Restart>;
     close(): Promise<void>;
 }
 
@@ -104,9 +111,10 @@
         async restartDaemon(host, signal) {
             const graceful = await processes.stop(daemonName(host));
             signal.throwIfAborted();
+            const startedAt = performance.now();
             startDaemon(host);
             await waitUntil(`${host.host} is ready again`, startTimeoutMs, signal, () => isReady(host));
-            return graceful;
+            return { graceful, readyMs: Math.round(performance.now() - startedAt) };
         },
         async close() {
             await platform?.close();
--- a/scripts/demo/operator.ts
+++ b/scripts/demo/operator.ts
@@ -5,9 +5,14 @@
     readonly output: string;
     /** Time of the first output by `performance.now()`. */
     readonly confirmedAt: number;
+    /** Settles when the process has ended; rejects when it did not exit with 0. */
+    readonly exited: Promise<void>;
 }
 
-/** Runs the real `tanagertray` command. Throws when it does not exit with 0. */
+/**
+ * Runs the real `tanagertray` command until it has written its outcome. The process takes about 200 ms more to
+ * end, which must not count as time of the daemons. Throws when it ends without an outcome.
+ */
 export async function runTanagertray(
     args: readonly string[],
     admin: string,
@@ -25,12 +30,16 @@
         confirmedAt ||= performance.now();
         output += chunk.toString("utf8");
     });
-    const code = await new Promise<number | null>((resolve, reject) => {
+    const exited = new Promise<void>((resolve, reject) => {
         child.once("error", reject);
-        child.once("close", resolve);
+        child.once("close", code => {
+            const message = `tanagertray ${args.join(" ")} exited with ${code}: ${output.trim()}`;
+            return code === 0 ? resolve() : reject(new Error(message));
+        });
     });
-    if (code !== 0) {
-        throw new Error(`tanagertray ${args.join(" ")} exited with ${code}: ${output.trim()}`);
-    }
-    return { output, confirmedAt };
+    const written = new Promise<void>(resolve => {
+        child.stdout.on("data", () => output.endsWith("\n") && resolve());
+    });
+    await Promise.race([written, exited]);
+    return { output, confirmedAt, exited };
 }
--- a/scripts/demo/rollout.ts
+++ b/scripts/demo/rollout.ts
@@ -18,12 +18,14 @@
             const hosts = board.read("hosts");
             const { admin } = hosts[0] as DemoHost;
             const submitted = await runTanagertray(["answers", "submit", answersFile], admin, signal);
+            await submitted.exited;
             const revision = String(readNumber(submitted.output, ["number", "revision"]));
             const accepted = await runTanagertray(["accept", revision], admin, signal);
             const version = readNumber(accepted.output, ["version"]);
             const isInForce = async () => (await countHostsOn(hosts, version)) === hosts.length;
             await waitUntil(`every host holds version ${version}`, convergenceTimeoutMs, signal, isInForce);
             section.write({ version, convergenceMs: Math.round(performance.now() - accepted.confirmedAt) });
+            await accepted.exited;
             await waitUntil("every host is ready", convergenceTimeoutMs, signal, async () =>
                 (await Promise.all(hosts.map(isReady))).every(Boolean),
             );
--- a/scripts/demo/run.ts
+++ b/scripts/demo/run.ts
@@ -60,10 +60,10 @@
     },
     [Step.RestartDaemon]: async ({ board, fleet }, signal) => {
         const host = board.read("hosts")[1] as DemoHost;
-        const graceful = await fleet.restartDaemon(host, signal);
+        const { graceful, readyMs } = await fleet.restartDaemon(host, signal);
         await sleep(quietMs, undefined, { signal });
         const ending = graceful ? "ended by itself after SIGTERM" : "had to be killed";
-        return `the daemon of ${host.host} ${ending} and is ready again`;
+        return `the daemon of ${host.host} ${ending} and is ready again ${readyMs} ms after its start`;
     },
     [Step.StopCalls]: async ({ board, meter, traffic }) => {
         await traffic.finish();
