--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,7 +15,7 @@
                 { selector: "ClassDeclaration[superClass]", message: "Use a lookup table of handlers." },
                 { selector: "ExportDefaultDeclaration", message: "Use a named export." },
             ],
-            "max-lines-per-function": ["error", { max: 130, skipBlankLines: true, skipComments: true }],
+            "max-lines-per-function": ["error", { max: 100, skipBlankLines: true, skipComments: true }],
             "max-lines": ["error", { max: 320, skipBlankLines: true, skipComments: true }],
             eqeqeq: "error",
             quotes: ["error", "double", { avoidEscape: true }],
--- a/packages/daemon/src/adapters/calls/admissions.ts
+++ b/packages/daemon/src/adapters/calls/admissions.ts
@@ -41,146 +41,165 @@
 const avoidMs = 500;
 const drainLimitReached = new Error("the backend server's drain limit was reached");
 
+/** What the functions below share; `createAdmissions` makes one. */
+interface Admitting {
+    readonly board: Board;
+    readonly now: () => number;
+    readonly states: Map<string, ServiceAdmission>;
+    readonly waiting: Map<WaitingCall, (outcome: Either<Refusal, BackendServer>) => void>;
+    readonly held: Map<Slot, { readonly control: AbortController; readonly service: string }>;
+    readonly avoidedUntil: Map<string, number>;
+}
+
 /** Hands out the slots of the backend servers and writes the `admissionState` section. */
 export function createAdmissions(board: Board, now: () => number): Admissions {
-    const section = board.claimValue("admissionState");
-    const states = new Map<string, ServiceAdmission>();
-    const waiting = new Map<WaitingCall, (outcome: Either<Refusal, BackendServer>) => void>();
-    const held = new Map<Slot, { readonly control: AbortController; readonly service: string }>();
-    const avoidedUntil = new Map<string, number>();
-    section.write(states);
-
-    function serviceOf(name: string): Service | undefined {
-        const resource = board
-            .read("configuration")
-            .held?.resources.get(resourceName(ResourceKind.Service, name));
-        return resource?.kind === ResourceKind.Service ? resource : undefined;
-    }
+    const admitting: Admitting = {
+        board,
+        now,
+        states: new Map(),
+        waiting: new Map(),
+        held: new Map(),
+        avoidedUntil: new Map(),
+    };
+    board.claimValue("admissionState").write(admitting.states);
+    const subscriptions = [
+        board.observe(["clock"], () => {
+            expireWaiting(admitting);
+            applyDrainLimits(admitting);
+        }),
+        board.observe(["backendServers", "configuration"], () => followServers(admitting)),
+    ];
+    return {
+        acquire: (service, call, control) => acquire(admitting, service, call, control),
+        load: service => loadOf(admitting.states.get(service.name), capacities(admitting, service)),
+        close: () => subscriptions.forEach(subscription => subscription.close()),
+    };
+}
 
-    /** Capacities without the avoided backend servers, unless all of them are avoided. */
-    function capacities(service: Service): readonly Capacity[] {
-        const all = capacitiesOf(service, board.read("backendServers").values(), now());
-        const reachable = all.filter(({ server }) => (avoidedUntil.get(server.id) ?? 0) <= now());
-        return reachable.length > 0 ? reachable : all;
-    }
+function serviceOf(board: Board, name: string): Service | undefined {
+    const resources = board.read("configuration").held?.resources;
+    const resource = resources?.get(resourceName(ResourceKind.Service, name));
+    return resource?.kind === ResourceKind.Service ? resource : undefined;
+}
 
-    function stateOf(service: string): ServiceAdmission {
-        const state = states.get(service) ?? createServiceAdmission();
-        states.set(service, state);
-        return state;
-    }
+/** Capacities without the avoided backend servers, unless all of them are avoided. */
+function capacities({ board, now, avoidedUntil }: Admitting, service: Service): readonly Capacity[] {
+    const all = capacitiesOf(service, board.read("backendServers").values(), now());
+    const reachable = all.filter(({ server }) => (avoidedUntil.get(server.id) ?? 0) <= now());
+    return reachable.length > 0 ? reachable : all;
+}
 
-    function createSlot(
-        service: string,
-        call: WaitingCall,
-        server: BackendServer,
-        control: AbortController,
-    ): Slot {
-        const takenAt = now();
-        const slot: Slot = {
-            server,
-            release({ reachable }) {
-                if (!reachable) {
-                    avoidedUntil.set(server.id, now() + avoidMs);
-                }
-                if (held.delete(slot)) {
-                    releaseSlot(stateOf(service), call.partner, server.id, now() - takenAt);
-                    pump(service);
-                }
-            },
-        };
-        held.set(slot, { control, service });
-        return slot;
-    }
+function stateOf({ states }: Admitting, service: string): ServiceAdmission {
+    const state = states.get(service) ?? createServiceAdmission();
+    states.set(service, state);
+    return state;
+}
 
-    /** Hands free slots to waiting calls. */
-    function pump(name: string): void {
-        const service = serviceOf(name);
-        const state = states.get(name);
-        if (service === undefined || state === undefined || state.queued === 0) {
-            return;
-        }
-        const current = capacities(service);
-        if (current.length === 0) {
-            const all = [...state.partners.values()].flatMap(use => use.queue);
-            all.forEach(call => removeWaiting(state, call));
-            return all.forEach(call => answer(call, Left(refusal(RefusalReason.NoBackendServer))));
-        }
-        for (let next = admitNext(state, current); next !== undefined; next = admitNext(state, current)) {
-            answer(next.call, Right(next.server));
-        }
-    }
+function createSlot(
+    admitting: Admitting,
+    service: string,
+    call: WaitingCall,
+    server: BackendServer,
+    control: AbortController,
+): Slot {
+    const { now, held, avoidedUntil } = admitting;
+    const takenAt = now();
+    const slot: Slot = {
+        server,
+        release({ reachable }) {
+            if (!reachable) {
+                avoidedUntil.set(server.id, now() + avoidMs);
+            }
+            if (held.delete(slot)) {
+                releaseSlot(stateOf(admitting, service), call.partner, server.id, now() - takenAt);
+                pump(admitting, service);
+            }
+        },
+    };
+    held.set(slot, { control, service });
+    return slot;
+}
 
-    function answer(call: WaitingCall, outcome: Either<Refusal, BackendServer>): void {
-        waiting.get(call)?.(outcome);
-        waiting.delete(call);
+/** Hands free slots to waiting calls. */
+function pump(admitting: Admitting, name: string): void {
+    const service = serviceOf(admitting.board, name);
+    const state = admitting.states.get(name);
+    if (service === undefined || state === undefined || state.queued === 0) {
+        return;
+    }
+    const current = capacities(admitting, service);
+    if (current.length === 0) {
+        const all = [...state.partners.values()].flatMap(use => use.queue);
+        all.forEach(call => removeWaiting(state, call));
+        return all.forEach(call => answer(admitting, call, Left(refusal(RefusalReason.NoBackendServer))));
     }
+    for (let next = admitNext(state, current); next !== undefined; next = admitNext(state, current)) {
+        answer(admitting, next.call, Right(next.server));
+    }
+}
+
+function answer({ waiting }: Admitting, call: WaitingCall, outcome: Either<Refusal, BackendServer>): void {
+    waiting.get(call)?.(outcome);
+    waiting.delete(call);
+}
+
+function acquire(admitting: Admitting, service: Service, call: WaitingCall, control: AbortController) {
+    const state = stateOf(admitting, service.name);
+    const decision = requestAdmission(state, call, capacities(admitting, service), admitting.now());
+    const take = (server: BackendServer) => createSlot(admitting, service.name, call, server, control);
+    return new Promise<Either<Refusal, Slot>>(resolve => {
+        const handlers = {
+            [AdmissionKind.Admitted]: ({ server }: { server: BackendServer }) => resolve(Right(take(server))),
+            [AdmissionKind.Refused]: (refused: { refusal: Refusal }) => resolve(Left(refused.refusal)),
+            [AdmissionKind.Queued]: ({ dropped }: { dropped?: WaitingCall }) => {
+                admitting.waiting.set(call, outcome => resolve(outcome.map(take)));
+                control.signal.addEventListener("abort", () => leave(admitting, state, call), { once: true });
+                if (dropped !== undefined) {
+                    answer(admitting, dropped, Left(refusal(RefusalReason.OverShare)));
+                }
+            },
+        } satisfies Record<AdmissionKind, (decision: never) => void>;
+        handlers[decision.kind](decision as never);
+    });
+}
 
-    function acquire(service: Service, call: WaitingCall, control: AbortController) {
-        const state = stateOf(service.name);
-        const decision = requestAdmission(state, call, capacities(service), now());
-        return new Promise<Either<Refusal, Slot>>(resolve => {
-            const handlers = {
-                [AdmissionKind.Admitted]: ({ server }: { server: BackendServer }) =>
-                    resolve(Right(createSlot(service.name, call, server, control))),
-                [AdmissionKind.Refused]: (refused: { refusal: Refusal }) => resolve(Left(refused.refusal)),
-                [AdmissionKind.Queued]: ({ dropped }: { dropped?: WaitingCall }) => {
-                    waiting.set(call, outcome =>
-                        resolve(outcome.map(server => createSlot(service.name, call, server, control))),
-                    );
-                    control.signal.addEventListener("abort", () => leave(state, call), { once: true });
-                    if (dropped !== undefined) {
-                        answer(dropped, Left(refusal(RefusalReason.OverShare)));
-                    }
-                },
-            } satisfies Record<AdmissionKind, (decision: never) => void>;
-            handlers[decision.kind](decision as never);
-        });
+function leave(admitting: Admitting, state: ServiceAdmission, call: WaitingCall): void {
+    if (removeWaiting(state, call)) {
+        answer(admitting, call, Left(refusal(RefusalReason.DeadlinePassed)));
     }
+}
 
-    function leave(state: ServiceAdmission, call: WaitingCall): void {
-        if (removeWaiting(state, call)) {
-            answer(call, Left(refusal(RefusalReason.DeadlinePassed)));
-        }
+function expireWaiting(admitting: Admitting): void {
+    for (const [service, state] of admitting.states) {
+        const expired = removeExpired(state, admitting.now());
+        expired.forEach(call => answer(admitting, call, Left(refusal(RefusalReason.WaitTooLong))));
+        pump(admitting, service);
     }
+}
 
-    function tick(): void {
-        for (const [service, state] of states) {
-            const expired = removeExpired(state, now());
-            expired.forEach(call => answer(call, Left(refusal(RefusalReason.WaitTooLong))));
-            pump(service);
-        }
-        for (const [slot, { control, service }] of held) {
-            const server = board.read("backendServers").get(slot.server.id);
-            const drainMs = serviceOf(service)?.drainMs ?? Infinity;
-            if (
-                server?.incarnation === slot.server.incarnation &&
-                now() - (server.drainingSince ?? Infinity) > drainMs
-            ) {
-                control.abort(drainLimitReached);
-            }
+/** Cancels the calls on backend servers that have drained for as long as they may. */
+function applyDrainLimits({ board, now, held }: Admitting): void {
+    for (const [slot, { control, service }] of held) {
+        const server = board.read("backendServers").get(slot.server.id);
+        const drainMs = serviceOf(board, service)?.drainMs ?? Infinity;
+        if (
+            server?.incarnation === slot.server.incarnation &&
+            now() - (server.drainingSince ?? Infinity) > drainMs
+        ) {
+            control.abort(drainLimitReached);
         }
     }
+}
 
-    function followServers(): void {
-        const known = board.read("backendServers");
-        [...avoidedUntil.keys()].filter(id => !known.has(id)).forEach(id => avoidedUntil.delete(id));
-        const offered = new Set([...board.read("backendServers").values()].map(server => server.service));
-        for (const [service, state] of states) {
-            pump(service);
-            if (!offered.has(service) && state.partners.size === 0) {
-                states.delete(service);
-            }
+function followServers(admitting: Admitting): void {
+    const { board, states, avoidedUntil } = admitting;
+    const known = board.read("backendServers");
+    [...avoidedUntil.keys()].filter(id => !known.has(id)).forEach(id => avoidedUntil.delete(id));
+    const offered = new Set([...known.values()].map(server => server.service));
+    for (const [service, state] of states) {
+        pump(admitting, service);
+        if (!offered.has(service) && state.partners.size === 0) {
+            states.delete(service);
         }
     }
-
-    const subscriptions = [
-        board.observe(["clock"], tick),
-        board.observe(["backendServers", "configuration"], followServers),
-    ];
-    return {
-        acquire,
-        load: service => loadOf(states.get(service.name), capacities(service)),
-        close: () => subscriptions.forEach(subscription => subscription.close()),
-    };
 }
--- a/packages/daemon/src/adapters/calls/exchange.ts
+++ b/packages/daemon/src/adapters/calls/exchange.ts
@@ -44,116 +44,144 @@
 
 const silence = new Error("the connection made no progress within its limit");
 
+/** State of one exchange. */
+interface Progress {
+    readonly options: ExchangeOptions;
+    readonly resolve: (result: ExchangeResult) => void;
+    /** Set when the first byte is about to be written. */
+    controller: Dispatcher.DispatchController | undefined;
+    /** Set when a response head has been passed on. */
+    sink: ResponseSink | undefined;
+    settled: boolean;
+    timer: NodeJS.Timeout | undefined;
+    cancel: () => void;
+}
+
 /** Sends one request and passes on its response, each with back-pressure. */
 export function exchange(options: ExchangeOptions): Promise<ExchangeResult> {
     return new Promise(resolve => {
-        let controller: Dispatcher.DispatchController | undefined;
-        let sink: ResponseSink | undefined;
-        let settled = false;
-        let timer: NodeJS.Timeout | undefined;
-
-        function settle(end: ExchangeEnd, error?: Error): void {
-            if (settled) {
-                return;
-            }
-            settled = true;
-            clearTimeout(timer);
-            options.signal.removeEventListener("abort", cancel);
-            resolve({ end, silent: error === silence, ...(error === undefined ? {} : { error }) });
-        }
-
-        function fail(error: Error): void {
-            const end =
-                sink !== undefined
-                    ? ExchangeEnd.Truncated
-                    : controller !== undefined
-                      ? ExchangeEnd.Lost
-                      : ExchangeEnd.NeverWritten;
-            settle(end, error);
-            controller?.abort(error);
-        }
-
-        function cancel(): void {
-            fail(options.signal.reason as Error);
-        }
-
-        function watch(limitMs: number): void {
-            clearTimeout(timer);
-            if (limitMs > 0) {
-                timer = setTimeout(() => fail(silence), limitMs);
-            }
-        }
-
-        const handler: Dispatcher.DispatchHandler = {
-            onRequestStart(started) {
-                if (settled || controller !== undefined || !options.mayWrite()) {
-                    started.abort(new Error("the call may not be sent"));
-                    return;
-                }
-                controller = started;
-                watch(options.headSilenceMs);
-            },
-            onResponseStart(started, status) {
-                if (settled) {
-                    return;
-                }
-                if (status < 200) {
-                    options.onInformation(status);
-                    watch(options.headSilenceMs);
-                    return;
-                }
-                const raw = (started.rawHeaders ?? []) as (Buffer | string)[];
-                sink = options.onHead(
-                    status,
-                    raw.map(part => (typeof part === "string" ? part : part.toString("latin1"))),
-                );
-                watch(options.bodySilenceMs);
-            },
-            onResponseData(started, chunk) {
-                if (settled || sink === undefined) {
-                    return;
-                }
-                watch(options.bodySilenceMs);
-                if (!sink.write(chunk)) {
-                    clearTimeout(timer);
-                    started.pause();
-                    sink.onceWritable(() => {
-                        if (!settled) {
-                            watch(options.bodySilenceMs);
-                            started.resume();
-                        }
-                    });
-                }
-            },
-            onResponseEnd() {
-                if (!settled) {
-                    sink?.end();
-                    settle(ExchangeEnd.Completed);
-                }
-            },
-            onResponseError(_started, error) {
-                fail(error);
-            },
+        const progress: Progress = {
+            options,
+            resolve,
+            controller: undefined,
+            sink: undefined,
+            settled: false,
+            timer: undefined,
+            cancel: () => fail(progress, options.signal.reason as Error),
         };
-
         if (options.signal.aborted) {
-            return cancel();
+            return progress.cancel();
         }
-        options.signal.addEventListener("abort", cancel, { once: true });
+        options.signal.addEventListener("abort", progress.cancel, { once: true });
         try {
-            options.dispatcher.dispatch(
-                {
-                    method: options.method as Dispatcher.HttpMethod,
-                    path: options.path,
-                    headers: options.headers,
-                    body: options.body as never,
-                    headersTimeout: 0,
-                    bodyTimeout: 0,
-                },
-                handler,
-            );
+            options.dispatcher.dispatch(requestOf(options), createHandler(progress));
         } catch (error) {
-            fail(error as Error);
+            fail(progress, error as Error);
         }
     });
 }
+
+function requestOf(options: ExchangeOptions): Dispatcher.DispatchOptions {
+    return {
+        method: options.method as Dispatcher.HttpMethod,
+        path: options.path,
+        headers: options.headers,
+        body: options.body as never,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+    };
+}
+
+function settle(progress: Progress, end: ExchangeEnd, error?: Error): void {
+    if (progress.settled) {
+        return;
+    }
+    progress.settled = true;
+    clearTimeout(progress.timer);
+    progress.options.signal.removeEventListener("abort", progress.cancel);
+    progress.resolve({ end, silent: error === silence, ...(error === undefined ? {} : { error }) });
+}
+
+/** Ends the exchange and discards its connection. */
+function fail(progress: Progress, error: Error): void {
+    const { sink, controller } = progress;
+    const end =
+        sink !== undefined
+            ? ExchangeEnd.Truncated
+            : controller !== undefined
+              ? ExchangeEnd.Lost
+              : ExchangeEnd.NeverWritten;
+    settle(progress, end, error);
+    controller?.abort(error);
+}
+
+/** Gives the connection up when nothing is heard on it within the limit. */
+function watch(progress: Progress, limitMs: number): void {
+    clearTimeout(progress.timer);
+    if (limitMs > 0) {
+        progress.timer = setTimeout(() => fail(progress, silence), limitMs);
+    }
+}
+
+function createHandler(progress: Progress): Dispatcher.DispatchHandler {
+    const { options } = progress;
+    return {
+        onRequestStart(started) {
+            if (progress.settled || progress.controller !== undefined || !options.mayWrite()) {
+                started.abort(new Error("the call may not be sent"));
+                return;
+            }
+            progress.controller = started;
+            watch(progress, options.headSilenceMs);
+        },
+        onResponseStart(started, status) {
+            if (!progress.settled) {
+                takeHead(progress, status, (started.rawHeaders ?? []) as (Buffer | string)[]);
+            }
+        },
+        onResponseData(started, chunk) {
+            if (!progress.settled && progress.sink !== undefined) {
+                passData(progress, progress.sink, started, chunk);
+            }
+        },
+        onResponseEnd() {
+            if (!progress.settled) {
+                progress.sink?.end();
+                settle(progress, ExchangeEnd.Completed);
+            }
+        },
+        onResponseError: (_started, error) => fail(progress, error),
+    };
+}
+
+function takeHead(progress: Progress, status: number, rawHeaders: readonly (Buffer | string)[]): void {
+    const { options } = progress;
+    if (status < 200) {
+        options.onInformation(status);
+        watch(progress, options.headSilenceMs);
+        return;
+    }
+    const raw = rawHeaders.map(part => (typeof part === "string" ? part : part.toString("latin1")));
+    progress.sink = options.onHead(status, raw);
+    watch(progress, options.bodySilenceMs);
+}
+
+function passData(
+    progress: Progress,
+    sink: ResponseSink,
+    started: Dispatcher.DispatchController,
+    chunk: Buffer,
+): void {
+    const { bodySilenceMs } = progress.options;
+    watch(progress, bodySilenceMs);
+    if (!sink.write(chunk)) {
+        clearTimeout(progress.timer);
+        started.pause();
+        sink.onceWritable(() => {
+            if (!progress.settled) {
+                watch(progress, bodySilenceMs);
+                started.resume();
+            }
+        });
+    }
+}
--- a/packages/daemon/src/adapters/platform.ts
+++ b/packages/daemon/src/adapters/platform.ts
@@ -3,6 +3,7 @@
     headKey,
     PlatformAnswer,
     PlatformOperation,
+    type Event,
     type Head,
     type PlatformCommand,
     type PlatformRequest,
@@ -72,14 +73,7 @@
         if (before.reachable !== reachable) {
             const now = Date.now();
             state.write({ ...before, reachable, since: now });
-            events.append({
-                name: reachable ? "platform.reachable" : "platform.unreachable",
-                level: reachable ? EventLevel.Info : EventLevel.Warn,
-                fields: {
-                    afterMs: now - before.since,
-                    reason: result.answer === PlatformAnswer.Lost ? result.message : undefined,
-                },
-            });
+            events.append(reachabilityEvent(result, now - before.since));
         }
     }
 
@@ -137,6 +131,16 @@
     };
 }
 
+function reachabilityEvent(result: PlatformResult, afterMs: number): Event {
+    return result.answer === PlatformAnswer.Lost
+        ? {
+              name: "platform.unreachable",
+              level: EventLevel.Warn,
+              fields: { afterMs, reason: result.message },
+          }
+        : { name: "platform.reachable", level: EventLevel.Info, fields: { afterMs, reason: undefined } };
+}
+
 const answersOfHead: ReadonlySet<string> = new Set([
     PlatformAnswer.Row,
     PlatformAnswer.Missing,
