--- a/scripts/bench/benchmarks.ts
+++ b/scripts/bench/benchmarks.ts
@@ -1,4 +1,11 @@
+import { controlCost } from "./control/controlCost.js";
+import { convergence } from "./control/convergence.js";
+import { placement } from "./control/placement.js";
 import type { Benchmark } from "./figure.js";
 
 /** Every benchmark by its name. */
-export const benchmarks: Readonly<Record<string, Benchmark>> = {};
+export const benchmarks: Readonly<Record<string, Benchmark>> = {
+    convergence,
+    placement,
+    "control-cost": controlCost,
+};
--- /dev/null
+++ b/scripts/bench/control/placement.ts
@@ -0,0 +1,132 @@
+import { hash32, hostsPerRole, rendezvous } from "@tanagertray/core";
+import { toFigure, type Benchmark, type BenchmarkOptions, type Figure } from "../figure.js";
+import { createRandom } from "../random.js";
+
+const sizes = [24, 1_000, 30_000];
+const domains = 26;
+/** Failure domains with 24 hosts in all. */
+const fewDomains = 6;
+/** Keys whose placement is counted; fewer at the largest size, where each choice takes longer. */
+const keys = 2_000;
+const virtualNodes = 64;
+const blocks = 1_024;
+
+type Choose = (key: string) => readonly string[];
+
+/** Builds the state of each placement from the members; each then chooses 2 hosts for a key. */
+const placements = {
+    rendezvous:
+        (hosts: readonly string[]): Choose =>
+        key =>
+            rendezvous(key, hosts, hostsPerRole),
+    ring: (hosts: readonly string[]): Choose => {
+        const nodes = hosts.flatMap(host =>
+            Array.from({ length: virtualNodes }, (_, index) => ({ host, at: hash32(`${host}#${index}`) })),
+        );
+        nodes.sort((a, b) => a.at - b.at);
+        return key => walk(nodes, hash32(key));
+    },
+    blocks: (hosts: readonly string[]): Choose => {
+        const nodes = hosts.map(host => ({ host, at: hash32(host) })).sort((a, b) => a.at - b.at);
+        const owners = Array.from({ length: blocks }, (_, block) =>
+            walk(nodes, Math.floor((block * 0x1_0000_0000) / blocks)),
+        );
+        return key => owners[hash32(key) % blocks] ?? [];
+    },
+} satisfies Record<string, (hosts: readonly string[]) => Choose>;
+
+/** The first hosts at or after a position of the ring, each once. */
+function walk(nodes: readonly { host: string; at: number }[], position: number): string[] {
+    let low = 0;
+    let high = nodes.length;
+    while (low < high) {
+        const middle = (low + high) >> 1;
+        if ((nodes[middle]?.at ?? 0) < position) {
+            low = middle + 1;
+        } else {
+            high = middle;
+        }
+    }
+    const chosen = new Set<string>();
+    for (let step = 0; step < nodes.length && chosen.size < hostsPerRole; step += 1) {
+        chosen.add(nodes[(low + step) % nodes.length]?.host ?? "");
+    }
+    return [...chosen];
+}
+
+interface Sample {
+    /** Roles of the most loaded host over the mean. */
+    readonly balance: number;
+    /** Share of the roles that changed hands although their holder stayed, when one host went. */
+    readonly needlessMoves: number;
+    /** Processor time to take a change of the membership and choose the 2 readers once. */
+    readonly processorMs: number;
+}
+
+const units = { balance: "max/mean", needlessMoves: "share", processorMs: "ms" } satisfies Record<
+    keyof Sample,
+    string
+>;
+
+/** Choice of the 2 head readers of a failure domain. */
+export const placement: Benchmark = {
+    summary: "rendezvous hashing against a ring with virtual nodes and one with block partitioning",
+    run: async options => sizes.flatMap(hosts => measureSize(hosts, options)),
+};
+
+function measureSize(hosts: number, options: BenchmarkOptions): Figure[] {
+    const members = Math.ceil(hosts / (hosts < 100 ? fewDomains : domains));
+    const samples: Record<keyof typeof placements, Sample[]> = { rendezvous: [], ring: [], blocks: [] };
+    for (let run = 0; run < options.runs; run += 1) {
+        const random = createRandom(options.seed * 1_000 + run);
+        const names = Array.from({ length: members }, (_, at) => `host-${at}-${Math.floor(random() * 1e9)}`);
+        for (const kind of Object.keys(placements) as (keyof typeof placements)[]) {
+            samples[kind].push(measure(placements[kind], names));
+        }
+    }
+    return (["ring", "blocks"] as const).flatMap(baseline =>
+        (Object.keys(units) as (keyof Sample)[]).map(field =>
+            toFigure({
+                ...options,
+                name: `placement/${hosts}/${field}/vs-${baseline}`,
+                unit: units[field],
+                values: samples.rendezvous.map(sample => sample[field]),
+                baselines: samples[baseline].map(sample => sample[field]),
+            }),
+        ),
+    );
+}
+
+function measure(build: (hosts: readonly string[]) => Choose, hosts: readonly string[]): Sample {
+    const names = Array.from({ length: keys }, (_, index) => `head/domain-${index}`);
+    const choose = build(hosts);
+    const gone = hosts[0] as string;
+    const chooseAfter = build(hosts.slice(1));
+    const roles = new Map<string, number>();
+    let moved = 0;
+    for (const key of names) {
+        const before = choose(key);
+        before.forEach(host => roles.set(host, (roles.get(host) ?? 0) + 1));
+        const after = chooseAfter(key);
+        moved += before.filter(host => host !== gone && !after.includes(host)).length;
+    }
+    const mean = (keys * hostsPerRole) / hosts.length;
+    return {
+        balance: Math.max(...roles.values()) / mean,
+        needlessMoves: moved / (keys * hostsPerRole),
+        processorMs: processorTime(() => build(hosts)("head/own")),
+    };
+}
+
+/** Mean processor time of one call, over at least 50 ms. */
+export function processorTime(run: () => unknown): number {
+    run();
+    const start = process.cpuUsage();
+    for (let calls = 1; ; calls += 1) {
+        run();
+        const { user, system } = process.cpuUsage(start);
+        if (user + system >= 50_000) {
+            return (user + system) / 1_000 / calls;
+        }
+    }
+}
