feat(bench): selection and overload in virtual time

Cause: the policy of the data path was not measured. Change: a queue of events carries calls through routing, admission and retry decisions with the delays, slots and connections of both users.

--- /dev/null
+++ b/scripts/bench/calls/eventQueue.ts
@@ -0,0 +1,74 @@
+/** Events in virtual time: a binary heap ordered by instant, then by insertion. */
+export interface EventQueue {
+    now(): number;
+    schedule(delayMs: number, run: () => void): void;
+    /** Runs the events up to the given instant. */
+    runUntil(endMs: number): void;
+}
+
+interface Entry {
+    readonly at: number;
+    readonly order: number;
+    readonly run: () => void;
+}
+
+export function createEventQueue(startMs: number): EventQueue {
+    const heap: Entry[] = [];
+    let now = startMs;
+    let order = 0;
+
+    function isBefore(a: number, b: number): boolean {
+        const [x, y] = [heap[a] as Entry, heap[b] as Entry];
+        return x.at < y.at || (x.at === y.at && x.order < y.order);
+    }
+
+    function swap(a: number, b: number): void {
+        const kept = heap[a] as Entry;
+        heap[a] = heap[b] as Entry;
+        heap[b] = kept;
+    }
+
+    function rise(index: number): void {
+        for (let i = index; i > 0 && isBefore(i, (i - 1) >> 1); i = (i - 1) >> 1) {
+            swap(i, (i - 1) >> 1);
+        }
+    }
+
+    function sink(): void {
+        for (let i = 0; ;) {
+            const left = 2 * i + 1;
+            const least = left + 1 < heap.length && isBefore(left + 1, left) ? left + 1 : left;
+            if (least >= heap.length || !isBefore(least, i)) {
+                return;
+            }
+            swap(i, least);
+            i = least;
+        }
+    }
+
+    function takeFirst(): Entry {
+        const first = heap[0] as Entry;
+        const last = heap.pop() as Entry;
+        if (heap.length > 0) {
+            heap[0] = last;
+            sink();
+        }
+        return first;
+    }
+
+    return {
+        now: () => now,
+        schedule(delayMs, run) {
+            heap.push({ at: now + Math.max(0, delayMs), order: order++, run });
+            rise(heap.length - 1);
+        },
+        runUntil(endMs) {
+            while (heap.length > 0 && (heap[0] as Entry).at <= endMs) {
+                const { at, run } = takeFirst();
+                now = at;
+                run();
+            }
+            now = endMs;
+        },
+    };
+}
--- /dev/null
+++ b/scripts/bench/calls/selectors.ts
@@ -0,0 +1,49 @@
+import {
+    chooseTarget,
+    tierOrder,
+    type SelectionOptions,
+    type ServiceTargets,
+    type Target,
+} from "@tanagertray/core";
+
+export const Selector = {
+    Product: "product",
+    Random: "random",
+    RoundRobin: "roundRobin",
+    LeastConnections: "leastConnections",
+} as const;
+export type Selector = (typeof Selector)[keyof typeof Selector];
+
+export interface SelectorState {
+    turn: number;
+}
+
+type Choose = (
+    targets: ServiceTargets,
+    options: SelectionOptions,
+    state: SelectorState,
+) => Target | undefined;
+
+/** The product's choice and the baselines; these know no tiers, ejection or load. */
+export const selectors = {
+    [Selector.Product]: (targets, options) => chooseTarget(targets, options)?.target,
+    [Selector.Random]: (targets, options) => {
+        const all = usable(targets, options);
+        return all[Math.floor(options.random() * all.length)];
+    },
+    [Selector.RoundRobin]: (targets, options, state) => {
+        const all = usable(targets, options);
+        return all[state.turn++ % Math.max(1, all.length)];
+    },
+    [Selector.LeastConnections]: (targets, options) => {
+        const inFlight = ({ host }: Target) => options.observations.get(host)?.inFlight ?? 0;
+        const all = usable(targets, options);
+        const least = Math.min(...all.map(inFlight));
+        const best = all.filter(target => inFlight(target) === least);
+        return best[Math.floor(options.random() * best.length)];
+    },
+} satisfies Record<Selector, Choose>;
+
+function usable(targets: ServiceTargets, { excluded }: SelectionOptions): readonly Target[] {
+    return tierOrder.flatMap(tier => targets[tier]).filter(({ host }) => !excluded.has(host));
+}
