feat(settings): hosts can advertise another peer address than the one they listen on

Cause: the listen address was announced to other daemons, so a host behind an address translation could not be linked, and a test could not put a relay in front of a daemon's peer listener. The links' handshake and the host record carry it.

--- a/packages/daemon/features/steps/callFixture.ts
+++ b/packages/daemon/features/steps/callFixture.ts
@@ -148,6 +148,7 @@
             failureDomain: "d1",
             region: "r1",
             listen: { calls: loopback, peer: loopback, admin: loopback },
+            advertise: { peer: loopback },
             platform: { url: "http://127.0.0.1:9" },
             peers: [],
             keys: { operator: [], backendServer: [], peer: ["new-key", "old-key"] },
--- a/packages/daemon/src/adapters/peers/context.ts
+++ b/packages/daemon/src/adapters/peers/context.ts
@@ -24,7 +24,7 @@
         host: settings.host,
         failureDomain: settings.failureDomain,
         region: settings.region,
-        address: formatEndpoint(settings.listen.peer),
+        address: formatEndpoint(settings.advertise.peer),
     };
     return {
         board,
--- a/packages/daemon/src/board.ts
+++ b/packages/daemon/src/board.ts
@@ -29,6 +29,7 @@
 } from "@tanagertray/core";
 import type { Either } from "purify-ts/Either";
 import { noTraffic, type PeerTraffic } from "./adapters/peers/traffic.js";
+import { formatEndpoint } from "./settings/resolveSettings.js";
 import type { ResolvedSettings } from "./settings/settings.js";
 
 /** Last tick of the clock. A long gap between two ticks means that the process was paused. */
@@ -217,7 +218,7 @@
         incarnation: now,
         counter: 0,
         state: "alive",
-        peerAddress: `${settings.listen.peer.address}:${settings.listen.peer.port}`,
+        peerAddress: formatEndpoint(settings.advertise.peer),
         offers: [],
         version: 0,
     };
--- a/packages/daemon/src/settings/checkSettings.ts
+++ b/packages/daemon/src/settings/checkSettings.ts
@@ -42,6 +42,7 @@
         },
     },
     optional: {
+        advertise: { kind: RuleKind.Group, required: {}, optional: { peer: endpoint } },
         peers: { kind: RuleKind.List, item: endpoint, min: 0, max: maxPeers, unique: true },
         spread: { kind: RuleKind.Choice, values: Object.values(Spread) },
         outsideCallers: { kind: RuleKind.Flag },
--- a/packages/daemon/src/settings/resolveSettings.ts
+++ b/packages/daemon/src/settings/resolveSettings.ts
@@ -19,6 +19,7 @@
             peer: parseEndpoint(settings.listen.peer),
             admin: parseEndpoint(settings.listen.admin),
         },
+        advertise: { peer: parseEndpoint(settings.advertise?.peer ?? settings.listen.peer) },
         platform: { url: settings.platform.url },
         peers: settings.peers ?? [],
         keys: settings.keys,
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -20,6 +20,14 @@
         /** `address:port` for operators, backend servers and monitoring. */
         admin: string;
     };
+    /** Addresses that others use for this host, where they differ from the listen addresses. */
+    advertise?: {
+        /**
+         * `address:port` for other daemons.
+         * @default listen.peer
+         */
+        peer?: string;
+    };
     platform: {
         /** Base URL of the table service and object store. */
         url: string;
@@ -61,6 +69,7 @@
     readonly failureDomain: string;
     readonly region: string;
     readonly listen: { readonly calls: Endpoint; readonly peer: Endpoint; readonly admin: Endpoint };
+    readonly advertise: { readonly peer: Endpoint };
     readonly platform: { readonly url: string };
     readonly peers: readonly string[];
     readonly keys: {
