feat(metrics): bytes of the links, and an event for each bound of links and membership

Cause: the section peerTraffic was not exported, so nobody saw the bytes between daemons, and several bounds were reached in silence. Change: tanagertray_peer_bytes_total and tanagertray_peer_messages_total by kind, direction and region. New events: peer.connectionRefused, peer.handshakeTimeout, membership.pendingFull, membership.tombstonesFull and membership.repairLimited; peer.refused also tells of a message above the size limit and of a link closed after malformed messages. The entries dropped by full sections were exported already.

--- a/packages/daemon/features/admin.feature
+++ b/packages/daemon/features/admin.feature
@@ -64,6 +64,14 @@
         And the metrics hold 'tanagertray_span_duration_seconds_count{span="call"} 200'
         And the metrics hold 'tanagertray_configuration_version 7'
 
+    # Guards against control bytes that the users pay for and cannot see.
+    Scenario: The metrics hold the bytes of the links by kind, direction and region
+        When the links carried a digest of 300 bytes to another region
+        And the admin path "GET /metrics" is requested with the token ""
+        Then every line of the metrics parses
+        And the metrics hold 'tanagertray_peer_bytes_total{kind="digest",direction="out",region="other"} 300'
+        And the metrics hold 'tanagertray_peer_messages_total{kind="digest",direction="out",region="other"} 1'
+
     Scenario: Secrets appear in no log line and repeated events are limited
         When a log follows the board while strangers and operators send 40 requests
         Then no log line holds a token and each line is JSON with an event
--- a/packages/daemon/features/links.feature
+++ b/packages/daemon/features/links.feature
@@ -69,6 +69,13 @@
         When the bare connection sends 1 malformed messages
         Then the bare connection is closed
 
+    # Guards against a bound that is reached without anybody seeing it.
+    Scenario: Bounds of the links show as events
+        Given a peer adapter "a1" and a bare authenticated connection to it
+        When 66 connections to the peer adapter send no hello for 2500 ms
+        And the bare connection sends a message of 5 MiB
+        Then the peer adapter noted "peer.connectionRefused, peer.handshakeTimeout, peer.refused"
+
     # Guards against memory that grows behind a peer that does not read.
     Scenario: A link to a peer that does not read is closed
         Given a peer adapter "a1" and a bare authenticated connection to it
--- a/packages/daemon/features/steps/telemetry.ts
+++ b/packages/daemon/features/steps/telemetry.ts
@@ -1,6 +1,7 @@
 import { Then, When } from "@cucumber/cucumber";
 import type { Span } from "@tanagertray/core";
 import { createBoard, createLog, createTraces, resolveSettings } from "@tanagertray/daemon";
+import { createTrafficCounter } from "@tanagertray/daemon/adapters/peers/traffic";
 import assert from "node:assert/strict";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -38,6 +39,12 @@
     },
 );
 
+When("the links carried a digest of {int} bytes to another region", function (this: World, bytes: number) {
+    const traffic = createTrafficCounter();
+    traffic.countOut("digest", true, bytes);
+    this.board.claimValue("peerTraffic").write(traffic.total());
+});
+
 Then("every line of the metrics parses", function (this: World) {
     const sample = /^[a-z_]+(\{([a-z_]+="([^"\\\n]|\\.)*",?)+\})? -?[0-9.e+-]+$/;
     const comment = /^# (HELP [a-z_]+ .+|TYPE [a-z_]+ (counter|gauge|summary))$/;
--- a/packages/daemon/src/adapters/admin/metrics.ts
+++ b/packages/daemon/src/adapters/admin/metrics.ts
@@ -1,5 +1,6 @@
 import { HostState, ReadinessState } from "@tanagertray/core";
 import type { Board } from "../../board.js";
+import type { KindTraffic } from "../peers/traffic.js";
 import type { Counters } from "./counters.js";
 import { Access, type EndpointTable } from "./exchange.js";
 import { knownHosts } from "./knownHosts.js";
@@ -73,6 +74,18 @@
         help: "Open links to other daemons.",
         read: ({ board }) => [{ value: board.read("peerLinks").size }],
     },
+    {
+        name: "tanagertray_peer_bytes_total",
+        type: "counter",
+        help: "Bytes of messages on the links between daemons.",
+        read: ({ board }) => readTraffic(board, { in: "bytesIn", out: "bytesOut" }),
+    },
+    {
+        name: "tanagertray_peer_messages_total",
+        type: "counter",
+        help: "Messages on the links between daemons.",
+        read: ({ board }) => readTraffic(board, { in: "messagesIn", out: "messagesOut" }),
+    },
     {
         name: "tanagertray_backend_servers",
         type: "gauge",
@@ -161,6 +174,21 @@
     return [...counts].map(([state, value]) => ({ labels: { state }, value }));
 }
 
+function readTraffic(
+    board: Board,
+    fields: Readonly<Record<"in" | "out", keyof KindTraffic>>,
+): readonly Sample[] {
+    const { sameRegion, crossRegion } = board.read("peerTraffic");
+    return Object.entries({ same: sameRegion, other: crossRegion }).flatMap(([region, kinds]) =>
+        [...kinds].flatMap(([kind, traffic]) =>
+            Object.entries(fields).map(([direction, field]) => ({
+                labels: { kind, direction, region },
+                value: traffic[field],
+            })),
+        ),
+    );
+}
+
 function readDurations({ counters }: Source): readonly Sample[] {
     return [...counters.spans()].flatMap(([span, { histogram, totalMs }]) => [
         ...quantiles.map(quantile => ({
--- a/packages/daemon/src/adapters/peers/link.ts
+++ b/packages/daemon/src/adapters/peers/link.ts
@@ -1,7 +1,8 @@
 import { problem, ProblemCode, type PeerMessage, type Problem } from "@tanagertray/core";
 import type { WebSocket } from "ws";
 import { decodeMessage, encodeFrame } from "./codec.js";
-import { maxBufferedBytes, maxMalformed } from "./constants.js";
+import { maxBufferedBytes, maxMalformed, maxMessageBytes } from "./constants.js";
+import { malformed } from "./decoders.js";
 import {
     createNonce,
     decodeHandshake,
@@ -86,6 +87,9 @@
     malformed: number;
 }
 
+/** Error code of the WebSocket library for a message above `maxPayload`. */
+const messageTooLargeCode = "WS_ERR_UNSUPPORTED_MESSAGE_LENGTH";
+
 /** Runs the handshake and the decoding of one connection. */
 export function createLink(options: LinkOptions): Link {
     const { socket, role, dialed, now } = options;
@@ -128,7 +132,11 @@
         handlers[link.phase](context, frame);
     });
     // Every error is followed by "close", which is where the link is forgotten.
-    socket.on("error", () => undefined);
+    socket.on("error", (error: NodeJS.ErrnoException) => {
+        if (error.code === messageTooLargeCode) {
+            options.refused(link, malformed(`a message exceeds ${maxMessageBytes} bytes`));
+        }
+    });
     socket.on("close", () => {
         const before = link.phase;
         link.phase = LinkPhase.Closed;
@@ -240,6 +248,7 @@
     context.malformed += 1;
     context.options.refused(context.link, fault);
     if (context.malformed >= maxMalformed) {
+        context.options.refused(context.link, malformed(`closed after ${maxMalformed} of them`));
         context.link.terminate();
     }
 }
--- a/packages/daemon/src/adapters/peers/peers.ts
+++ b/packages/daemon/src/adapters/peers/peers.ts
@@ -55,11 +55,9 @@
     const context = createContext(board, options);
     const webSocketServer = new WebSocketServer({ noServer: true, ...socketOptions });
     const upgrade = (request: UpgradeRequest, socket: Duplex, head: Buffer) => {
-        const refused =
-            request.url !== peerPath ||
-            context.links.size >= maxLinks ||
-            countPending(context) >= maxPendingHandshakes;
-        if (refused) {
+        const reason = refusalOf(context, request);
+        if (reason !== undefined) {
+            note(context, "peer.connectionRefused", EventLevel.Warn, undefined, { reason });
             socket.destroy();
             return;
         }
@@ -85,6 +83,19 @@
     };
 }
 
+/** Why an upgrade request is refused, or `undefined`. */
+function refusalOf(context: Context, request: UpgradeRequest): string | undefined {
+    if (request.url !== peerPath) {
+        return "unknown path";
+    }
+    if (context.links.size >= maxLinks) {
+        return `${maxLinks} links are open`;
+    }
+    return countPending(context) >= maxPendingHandshakes
+        ? `${maxPendingHandshakes} handshakes are in progress`
+        : undefined;
+}
+
 function countPending({ connections }: Context): number {
     return [...connections].filter(link => link.role === Role.Acceptor && link.phase !== LinkPhase.Open)
         .length;
@@ -191,6 +202,7 @@
 function closeOverdue(context: Context, link: Link, now: number): void {
     if (link.phase !== LinkPhase.Open) {
         if (now - link.startedAt > handshakeMs) {
+            note(context, "peer.handshakeTimeout", EventLevel.Warn, link, {});
             link.terminate();
         }
         return;
--- a/packages/daemon/src/controllers/membership.ts
+++ b/packages/daemon/src/controllers/membership.ts
@@ -22,6 +22,7 @@
 } from "@tanagertray/core";
 import type { Board } from "../board.js";
 import type { Closeable } from "../closeable.js";
+import { notePendingFull, noteRepairLimited, noteTombstonesFull } from "./membershipLimits.js";
 import { createStatement, heldVersion } from "./statement.js";
 
 /** Period of anti-entropy with one random linked host, in milliseconds. */
@@ -111,6 +112,9 @@
 function takeRecords(context: Context, { from, message }: Parameters<InboxHandler<"records">>[1]): void {
     const waiting = context.pending.get(from) ?? [];
     const records = message.records.slice(0, maxPendingRecords - context.pendingCount);
+    notePendingFull(from, message.records.length - records.length).forEach(event =>
+        context.events.append(event),
+    );
     waiting.push(...records);
     context.pendingCount += records.length;
     context.pending.set(from, waiting);
@@ -120,6 +124,8 @@
     const records = allRecords(context);
     const digest = computeDigest(records);
     const buckets = chooseRepairBuckets(digest, message.buckets, records.length, context.random);
+    const digests = { ours: digest, theirs: message.buckets };
+    noteRepairLimited(from, digests, buckets.length).forEach(event => context.events.append(event));
     if (buckets.length > 0) {
         sendBuckets(context, from, buckets);
         send(context, { to: { host: from }, message: { kind: MessageKind.RecordRequest, buckets } });
@@ -173,7 +179,9 @@
     const before = context.table;
     mergePending(context, now);
     detect(context, now);
-    context.table = expireTombstones(context.table, now);
+    const unexpired = context.table;
+    context.table = expireTombstones(unexpired, now);
+    noteTombstonesFull(unexpired, context.table, now).forEach(event => context.events.append(event));
     if (context.table !== before || context.raised.size > 0) {
         writeMembership(context, before.records);
     }
