fix(distribution): a bad version no longer hides the good one before it

Cause: a host that refused the version of the head row aimed at nothing else, so it kept version 5 when a bad 7 directly followed a good 6 and no peer held 6. A joining host took the refused version as its floor and stayed out of service for the joining deadline of 30 s.

Change: the distribution keeps the accepted versions that the head row names and aims at the newest one that it has not refused. The floor of a joining host follows the same rule (servableVersion).

The existing scenarios carry the tags of the points that they prove. Acceptance with stale reads and with a refusal after a lost write, and each check of the assembly, have scenarios of their own.

--- a/packages/core/features/distribution.feature
+++ b/packages/core/features/distribution.feature
@@ -1,5 +1,7 @@
+@configuration
 Feature: A version spreads to every host, whole or not at all
 
+    @no-older-version @no-dangling-route @no-partial-version @in-force-everywhere @crossed-updates
     Scenario Outline: Lost and reordered messages between hosts with <spread> spread
         # Guards against a host that moves back, that holds a dangling reference, or that stays behind.
         Given distributing hosts in 2 regions with "<spread>" spread
@@ -12,6 +14,7 @@
             | eager  |
             | lazy   |
 
+    @no-dangling-route @no-partial-version
     Scenario Outline: A version with <fault> is refused whole
         # Guards against a bad version that is put in force in part, or that blocks the next good one.
         Given a distributing host that holds version 1
@@ -28,6 +31,7 @@
             | a resource of wrong shape |
             | a part of another name   |
 
+    @no-partial-version @crossed-updates
     Scenario: An update with another base is not applied
         # Guards against a delta applied to a manifest that it was not computed from.
         Given a distributing host that holds version 1
@@ -41,6 +45,31 @@
         Then each neighbour was asked once for each part, then the object store
         And version 2 is in force after the object store answered
 
+    @no-partial-version @in-force-everywhere
+    Scenario Outline: A bad version with <reference> reference directly follows a good one
+        # Guards against a host that keeps an old version because the head row names a bad one.
+        Given a distributing host that holds version 1
+        When it reads a head row whose bad version 3 with "<reference>" reference follows version 2
+        Then it holds version 2 and reports version 3 as rejected
+        And it reads no object again when it reads the same head row
+
+        Examples:
+            | reference     |
+            | a declared    |
+            | an undeclared |
+
+    Scenario Outline: A version is assembled from <parts>
+        # Guards against a check that only the sender's side makes, should a caller leave it out.
+        When version 2 is assembled from "<parts>"
+        Then the assembly ends as "<code>"
+
+        Examples:
+            | parts           | code              |
+            | whole parts     | assembled         |
+            | a corrupt part  | hashMismatch      |
+            | a missing part  | notFound          |
+            | dangling routes | danglingReference |
+
     Scenario: A silent neighbour is replaced after the deadline
         # Guards against a pull that waits for ever for a silent link.
         Given a distributing host that holds version 1
@@ -66,6 +95,7 @@
         Then it asks for the missing parts and keeps version 1 in force meanwhile
         And it holds the resources of both services when the parts arrive
 
+    @no-older-version
     Scenario: No version below the floor is taken
         # Guards against a restarted host that takes an older version from a lagging neighbour.
         Given a distributing host without a version and with floor 3
--- a/packages/core/features/joining.feature
+++ b/packages/core/features/joining.feature
@@ -1,5 +1,7 @@
+@configuration
 Feature: A restarted or paused host serves no version that is too old
 
+    @no-older-version @store-down
     Scenario Outline: A restarted host next to a lagging peer while the platform is down, <order>
         # Guards against a host that goes back to the version of a lagging peer, in either order of answers.
         Given a joining host while the platform is down
@@ -14,6 +16,7 @@
             | lagging first |
             | current first |
 
+    @no-older-version @stale-read
     Scenario: A stale head row does not admit a host below its high-water mark
         # Guards against a stale read of the head row that arrives before the peers' answers.
         Given a joining host while the platform is down
@@ -34,6 +37,7 @@
         When the joining host gets version 0 after 60000 ms
         Then the joining host is "joining" with floor 0
 
+    @no-older-version @store-down
     Scenario: After 30 s the highest version found is used, but none below the own high-water mark
         # Guards against a host that waits for ever for a version that nobody can provide, or goes back then.
         Given a joining host while the platform is down
@@ -50,6 +54,7 @@
         Given a joining host while the platform is down
         Then 11 watermark requests leave the joining host in 10 s when only one of two peers answers
 
+    @no-older-version @lapsed-lease
     Scenario Outline: After a pause of <paused> ms and <word> the host is <state>
         # Guards against a host that serves an old version after it was paused, or stays fenced for ever.
         Given a ready host that holds version 5
--- a/packages/core/features/membership.feature
+++ b/packages/core/features/membership.feature
@@ -1,3 +1,4 @@
+@configuration
 Feature: Hosts agree on the membership
 
     # Guards against an older record overriding a newer one when news arrives late, twice or crossed.
--- a/packages/core/features/revisions.feature
+++ b/packages/core/features/revisions.feature
@@ -1,3 +1,4 @@
+@configuration
 Feature: Each operator's command takes effect once and its outcome is true
 
     Scenario Outline: <command> with every fault at every step
@@ -39,6 +40,37 @@
         When "accept" is refused at its write
         Then the revision command ends as "platformUnreachable"
 
+    @no-older-version @stale-read
+    Scenario Outline: An acceptance reads a stale head row again, <times> times
+        # Guards against an acceptance that builds on an older head, or that fails because of one stale read.
+        When a revision based on version 1 is accepted with <times> stale reads of the head row
+        Then the acceptance ends as "<outcome>" after <writes> writes of the head row
+
+        Examples:
+            | times | outcome             | writes |
+            | 1     | accepted            | 2      |
+            | 9     | platformUnreachable | 1      |
+
+    Scenario Outline: An acceptance whose first write is lost and second refused, after <first>
+        # Guards against a refusal of the second write that is taken for the outcome of the first.
+        When "accept" meets the faults "none,none,<first>,stale,none,refused"
+        Then each revision command took effect at most once and told the truth
+
+        Examples:
+            | first      |
+            | lostAfter  |
+            | lostBefore |
+
+    Scenario Outline: A submission whose first write is lost and second refused, after <first>
+        # Guards against a refusal of the second write that is taken for the outcome of the first.
+        When "submit" meets the faults "<first>,stale,refused" from its write of a row on
+        Then each revision command took effect at most once and told the truth
+
+        Examples:
+            | first      |
+            | lostAfter  |
+            | lostBefore |
+
     Scenario: The loser of a race learns the winning change
         # Guards against an operator who cannot tell why the command failed.
         When a rival accepts another revision before the write of "accept"
--- a/packages/core/features/steps/distribution.ts
+++ b/packages/core/features/steps/distribution.ts
@@ -10,6 +10,7 @@
     manifestHashOf,
     MessageKind,
     noKeptSteps,
+    type AcceptedVersion,
     type Distribution,
     type DistributionInput,
     type Effects,
@@ -22,7 +23,14 @@
 } from "@tanagertray/core";
 import assert from "node:assert/strict";
 import { runNetwork, type NetworkReport } from "../support/network.js";
-import { bytesOf, createHolder, linksTo, makeVersion, type Version } from "../support/versions.js";
+import {
+    bytesOf,
+    createHolder,
+    linksTo,
+    makeDanglingVersion,
+    makeVersion,
+    type Version,
+} from "../support/versions.js";
 
 /** Route, service, caller and partner of `s0`, and those that `s0` needs to call `s2`. */
 const resourcesOfS0 = 7;
@@ -36,6 +44,8 @@
     bad: Version;
     effects: Effects[];
     kept: KeptSteps;
+    objects: ReadonlyMap<string, Uint8Array>;
+    head: AcceptedVersion;
 }
 
 function feed(world: World, input: DistributionInput): Effects {
@@ -191,6 +201,45 @@
     assert.equal(this.host.held?.manifest.version, 2);
 });
 
+When(
+    /^it reads a head row whose bad version 3 with "(a declared|an undeclared)" reference follows version 2$/,
+    function (this: World, reference: string) {
+        const two = makeVersion(2);
+        const three = makeDanglingVersion(3, { declared: reference === "a declared" });
+        this.objects = new Map([
+            [two.hash, canonicalBytes(two.manifest)],
+            ...[...two.parts, ...three.objects].map(({ hash, bytes }) => [hash, bytes] as const),
+        ]);
+        const history = [three, two, this.one].map(({ hash }, i) => ({ version: 3 - i, manifestHash: hash }));
+        this.head = { version: 3, manifestHash: three.hash, history };
+        readHead(this);
+    },
+);
+
+/** Feeds the head row and the objects that the host then reads. */
+function readHead(world: World): number {
+    const waiting = [...feed(world, { kind: InputKind.Head, head: world.head }).reads];
+    let count = 0;
+    for (let hash = waiting.shift(); hash !== undefined; hash = waiting.shift(), count += 1) {
+        const bytes = world.objects.get(hash) as Uint8Array;
+        waiting.push(...feed(world, { kind: InputKind.StoredObject, hash, bytes }).reads);
+    }
+    return count;
+}
+
+Then(
+    "it holds version {int} and reports version {int} as rejected",
+    function (this: World, held: number, rejected: number) {
+        assert.equal(this.host.held?.manifest.version, held);
+        assert.equal(this.host.held.resources.size, resourcesOfS0);
+        assert.equal(this.host.rejected?.version, rejected);
+    },
+);
+
+Then("it reads no object again when it reads the same head row", function (this: World) {
+    assert.equal(readHead(this), 0);
+});
+
 When("two neighbours announce version 2 and do not answer", function (this: World) {
     const two = makeVersion(2);
     for (const host of ["a", "b"]) {
--- a/packages/core/features/steps/revisions.ts
+++ b/packages/core/features/steps/revisions.ts
@@ -7,19 +7,14 @@
     advanceSubmission,
     PlatformOperation,
     ProblemCode,
-    revisionKey,
     startAcceptance,
     startComparison,
     startListing,
     startRejection,
     startSubmission,
-    type Answers,
-    type Change,
-    type Head,
     type PlatformRequest,
     type PlatformResult,
     type Problem,
-    type Progress,
     type Revision,
     type RevisionDifference,
 } from "@tanagertray/core";
@@ -27,14 +22,23 @@
 import assert from "node:assert/strict";
 import type { Either } from "purify-ts/Either";
 import { createFakePlatform, Fault, type FakePlatform } from "../support/fakePlatform.js";
+import {
+    type Run,
+    operator,
+    own,
+    type CommandName,
+    drive,
+    submit,
+    accept,
+    headOf,
+    revisionOf,
+    commands,
+    headWrites,
+    runCommand,
+    requestsBeforeWrite,
+} from "../support/revisionRuns.js";
 import { makeAnswers, makeVersion } from "../support/versions.js";
 
-interface Run {
-    readonly faults: readonly Fault[];
-    readonly platform: FakePlatform;
-    readonly outcome: Either<Problem, unknown>;
-}
-
 interface World {
     runs: Run[];
     command: CommandName;
@@ -42,112 +46,6 @@
     writtenObjects: number;
 }
 
-const operator = "dana";
-const own = { operator, writeId: "own", now: 1 };
-
-const storedParts = new Set(makeVersion(3).parts.map(part => part.hash));
-
-type CommandName = "submit" | "accept" | "reject";
-
-interface Command {
-    readonly start: (platform: FakePlatform, faults: readonly Fault[]) => Either<Problem, unknown>;
-    /** Acts as another operator, once. */
-    readonly rival: (platform: FakePlatform) => void;
-    /** Number of times that the command took effect. */
-    readonly effects: (platform: FakePlatform) => number;
-}
-
-function drive<S, R>(
-    platform: FakePlatform,
-    faults: readonly Fault[],
-    first: Progress<S, R>,
-    advance: (state: S, result: PlatformResult) => Progress<S, R>,
-    rival: (platform: FakePlatform) => void = () => {},
-): Either<Problem, R> {
-    let progress = first;
-    let rivalActed = false;
-    for (let step = 0; !progress.done; step += 1) {
-        assert.ok(step < 200, "the exchange does not end");
-        const fault = faults[step] ?? Fault.None;
-        if (fault === Fault.Rival && !rivalActed) {
-            rivalActed = true;
-            rival(platform);
-        }
-        progress = advance(progress.state, platform.answer(progress.next, fault));
-    }
-    return progress.outcome;
-}
-
-const submit = (platform: FakePlatform, answers: Answers, writeId: string) =>
-    drive(
-        platform,
-        [],
-        startSubmission({ answers, operator: "rival", writeId, now: 1, storedHashes: new Set() }),
-        advanceSubmission,
-    );
-
-const accept = (platform: FakePlatform, revision: number, writeId: string) =>
-    drive(platform, [], startAcceptance({ revision, operator: "rival", writeId, now: 1 }), advanceAcceptance);
-
-const headOf = (platform: FakePlatform) => platform.row("head") as Head | undefined;
-const revisionOf = (platform: FakePlatform, number: number) =>
-    platform.row(revisionKey(number)) as Revision | undefined;
-
-const commands: Readonly<Record<CommandName, Command>> = {
-    submit: {
-        start: (platform, faults) =>
-            drive(platform, faults, startSubmission(submission()), advanceSubmission, commands.submit.rival),
-        rival: platform => void submit(platform, makeAnswers(4), "rival-submit"),
-        effects: platform =>
-            [...Array(40).keys()].filter(i => revisionOf(platform, i)?.writeId === own.writeId).length,
-    },
-    accept: {
-        start: (platform, faults) =>
-            drive(
-                platform,
-                faults,
-                startAcceptance({ revision: 1, ...own }),
-                advanceAcceptance,
-                // Either rival makes the acceptance impossible, in turn by the number of faults.
-                faults.length % 2 === 0 ? rejectAsRival : commands.accept.rival,
-            ),
-        rival: platform => void accept(platform, 2, "rival-accept"),
-        effects: platform => headWrites(platform).filter(change => change.writeId === own.writeId).length,
-    },
-    reject: {
-        start: (platform, faults) =>
-            drive(
-                platform,
-                faults,
-                startRejection({ revision: 1, ...own }),
-                advanceRejection,
-                faults.length % 2 === 0 ? rejectAsRival : commands.reject.rival,
-            ),
-        rival: platform => void accept(platform, 1, "rival-accept"),
-        effects: platform =>
-            platform.writes.filter(
-                ({ key, row }) =>
-                    key === revisionKey(1) && (row as Revision).rejectionWriteId === own.writeId,
-            ).length,
-    },
-};
-
-function rejectAsRival(platform: FakePlatform): void {
-    const request = { revision: 1, operator: "rival", writeId: "rival-reject", now: 1 };
-    drive(platform, [], startRejection(request), advanceRejection);
-}
-
-function headWrites(platform: FakePlatform): Change[] {
-    return platform.writes.filter(({ key }) => key === "head").map(({ row }) => row as Head);
-}
-
-function runCommand(name: CommandName, faults: readonly Fault[]): Run {
-    const platform = createFakePlatform();
-    submit(platform, makeAnswers(1), "one");
-    submit(platform, makeAnswers(2), "two");
-    return { faults, platform, outcome: commands[name].start(platform, faults) };
-}
-
 When(
     "{string} runs with each fault at each of its first {int} steps",
     function (this: World, name: CommandName, steps: number) {
@@ -169,29 +67,6 @@
     },
 );
 
-/** Requests of a run without faults before its write of a row. */
-const requestsBeforeWrite: Readonly<Record<CommandName, () => number>> = {
-    submit: () => countRequests(startSubmission(submission()), advanceSubmission) - 1,
-    accept: () => 2,
-    reject: () => 2,
-};
-
-function submission() {
-    return { answers: makeAnswers(3), ...own, storedHashes: storedParts };
-}
-
-function countRequests<S, R>(
-    first: Progress<S, R>,
-    advance: (state: S, result: PlatformResult) => Progress<S, R>,
-): number {
-    const platform = createFakePlatform();
-    let count = 0;
-    for (let progress = first; !progress.done; count += 1) {
-        progress = advance(progress.state, platform.answer(progress.next));
-    }
-    return count;
-}
-
 When(
     "{string} runs with every sequence of 4 faults from its write of a row on",
     function (this: World, name: CommandName) {
@@ -206,6 +81,43 @@
     },
 );
 
+When("{string} meets the faults {string}", function (this: World, name: CommandName, faults: string) {
+    this.command = name;
+    this.runs = [runCommand(name, faults.split(",") as Fault[])];
+});
+
+When(
+    "{string} meets the faults {string} from its write of a row on",
+    function (this: World, name: CommandName, faults: string) {
+        this.command = name;
+        const before = Array<Fault>(requestsBeforeWrite[name]()).fill(Fault.None);
+        this.runs = [runCommand(name, [...before, ...(faults.split(",") as Fault[])])];
+    },
+);
+
+When(
+    "a revision based on version 1 is accepted with {int} stale reads of the head row",
+    function (this: World, times: number) {
+        const platform = createFakePlatform();
+        submit(platform, makeAnswers(1), "one");
+        accept(platform, 1, "accept");
+        submit(platform, makeAnswers(2), "two");
+        const faults = [Fault.None, ...Array<Fault>(times).fill(Fault.Stale)];
+        const start = startAcceptance({ revision: 2, ...own });
+        this.outcome = drive(platform, faults, start, advanceAcceptance);
+        this.runs = [{ faults, platform, outcome: this.outcome }];
+    },
+);
+
+Then(
+    "the acceptance ends as {string} after {int} writes of the head row",
+    function (this: World, outcome: string, writes: number) {
+        const ended = this.outcome.caseOf({ Left: ({ code }) => code as string, Right: () => "accepted" });
+        assert.equal(ended, outcome);
+        assert.equal(headWrites((this.runs[0] as Run).platform).length, writes);
+    },
+);
+
 Then("each revision command took effect at most once and told the truth", function (this: World) {
     for (const { platform, outcome, faults } of this.runs) {
         const effects = commands[this.command].effects(platform);
--- a/packages/core/features/support/network.ts
+++ b/packages/core/features/support/network.ts
@@ -55,6 +55,27 @@
     });
 }
 
+/** What is wrong with a newly held configuration: older, not closed under references, or of mixed versions. */
+export function findHeldFaults(host: string, before: Distribution, { held }: Distribution): string[] {
+    if (held === before.held) {
+        return [];
+    }
+    const version = held?.manifest.version ?? 0;
+    const resources = [...(held?.resources ?? [])];
+    const isOlder = version < (before.held?.manifest.version ?? 0);
+    const dangling = resources
+        .flatMap(([, resource]) => referencesOf(resource))
+        .filter(name => !held?.resources.has(name));
+    const foreign = resources.filter(
+        ([name, resource]) => contentHash(canonicalBytes(resource)) !== held?.manifest.entries[name]?.hash,
+    );
+    return [
+        ...(isOlder ? [`${host} went back to ${version}`] : []),
+        ...dangling.map(name => `${host} lacks ${name} at version ${version}`),
+        ...foreign.map(([name]) => `${host} holds ${name} of another version than ${version}`),
+    ];
+}
+
 interface Choice {
     readonly action: number;
     readonly pick: number;
@@ -81,7 +102,7 @@
         const before = host.state;
         const { state, effects } = advanceDistribution(before, input, { now, random });
         host.state = state;
-        check(host, before);
+        faults.push(...findHeldFaults(host.name, before, state));
         for (const { to, message } of effects.messages) {
             const target = hosts.find(other => "host" in to && other.name === to.host);
             if (target !== undefined) {
@@ -96,28 +117,6 @@
         }
     }
 
-    function check(host: Host, before: Distribution): void {
-        const { held } = host.state;
-        if (held === before.held) {
-            return;
-        }
-        const version = held?.manifest.version ?? 0;
-        if (version < (before.held?.manifest.version ?? 0)) {
-            faults.push(`${host.name} went back to ${version}`);
-        }
-        for (const resource of held?.resources.values() ?? []) {
-            const missing = referencesOf(resource).find(name => !held?.resources.has(name));
-            if (missing !== undefined) {
-                faults.push(`${host.name} lacks ${missing} at version ${version}`);
-            }
-        }
-        for (const [name, resource] of held?.resources ?? []) {
-            if (contentHash(canonicalBytes(resource)) !== held?.manifest.entries[name]?.hash) {
-                faults.push(`${host.name} holds ${name} of another version than ${version}`);
-            }
-        }
-    }
-
     function accept(): void {
         const version = versions[accepted];
         if (version === undefined) {
--- a/packages/core/features/support/versions.ts
+++ b/packages/core/features/support/versions.ts
@@ -1,5 +1,7 @@
 import {
     assembleConfiguration,
+    canonicalBytes,
+    contentHash,
     createDistribution,
     generateConfiguration,
     manifestHashOf,
@@ -45,6 +47,32 @@
     };
 }
 
+/**
+ * A version whose routes name a missing resource, and its objects. Declared, the reference is in the manifest as
+ * well; otherwise it is found only when the parts are there.
+ */
+export function makeDanglingVersion(version: number, options: { declared: boolean }) {
+    const good = makeVersion(version);
+    const missing = "service/none";
+    const routes = Object.entries(good.manifest.entries)
+        .filter(([name]) => name.startsWith("route/"))
+        .map(([name, before]) => {
+            const route = JSON.parse(Buffer.from(bytesOf(good, name)).toString("utf8")) as object;
+            const bytes = canonicalBytes({ ...route, service: missing });
+            const references = options.declared ? [missing] : before.references;
+            return { name, bytes, entry: { ...before, references, hash: contentHash(bytes) } };
+        });
+    const entries = Object.fromEntries(routes.map(({ name, entry }) => [name, entry]));
+    const manifest = { version, entries: { ...good.manifest.entries, ...entries } };
+    const hash = manifestHashOf(manifest);
+    const changed = routes.map(({ bytes, entry }) => ({ hash: entry.hash, bytes }));
+    return {
+        manifest,
+        hash,
+        objects: [...good.parts, ...changed, { hash, bytes: canonicalBytes(manifest) }],
+    };
+}
+
 export function bytesOf(version: Version, name: string): Uint8Array {
     const hash = version.manifest.entries[name]?.hash;
     const part = version.parts.find(candidate => candidate.hash === hash);
--- a/packages/core/src/configuration/heldConfiguration.ts
+++ b/packages/core/src/configuration/heldConfiguration.ts
@@ -13,4 +13,6 @@
 export interface ConfigurationState {
     readonly held: HeldConfiguration | undefined;
     readonly rejected?: { readonly version: number; readonly reason: string };
+    /** Manifest hashes of refused versions, oldest first. */
+    readonly rejectedHashes?: readonly string[];
 }
--- a/packages/core/src/distribution/advance.ts
+++ b/packages/core/src/distribution/advance.ts
@@ -18,6 +18,7 @@
     isWanted,
     InputKind,
     SourceKind,
+    type AcceptedVersion,
     type Context,
     type Distribution,
     type DistributionInput,
@@ -55,7 +56,8 @@
     const applied = refreshHeld(applyCandidate(state, context));
     // A refresh that needs no further part is whole at once.
     const current = applyCandidate(applied, context);
-    return serveWaiting(fetchParts(fetchTarget(current, context), context), context);
+    const aimed = skipRejectedTarget(current);
+    return serveWaiting(fetchParts(fetchTarget(aimed, context), context), context);
 }
 
 type InputOf<K> = Extract<DistributionInput, { kind: K }>;
@@ -142,7 +144,9 @@
 }
 
 /** The head row is the authority on the manifest of a version. */
-function noteHead(state: Distribution, head: VersionIdentity): Distribution {
+function noteHead(before: Distribution, head: AcceptedVersion): Distribution {
+    const isStale = head.version < (before.accepted[0]?.version ?? 0);
+    const state = isStale ? before : { ...before, accepted: (head.history ?? [head]).map(toTarget) };
     const { target, candidate } = state;
     const isNewer = head.version > (target?.version ?? 0);
     const isContradicted = head.version === target?.version && head.manifestHash !== target.manifestHash;
@@ -158,6 +162,20 @@
     };
 }
 
+/**
+ * Aims at the newest accepted version that was not refused, because a bad version that directly follows a
+ * good one must not keep the good one from the hosts that had not taken it yet.
+ */
+function skipRejectedTarget(state: Distribution): Distribution {
+    const { target, accepted, rejectedHashes } = state;
+    if (target === undefined || !rejectedHashes.includes(target.manifestHash)) {
+        return state;
+    }
+    const earlier = accepted.find(version => version.version < target.version && isWanted(state, version));
+    // The request for the refused version says nothing about the sources of the earlier one.
+    return earlier === undefined ? state : { ...state, target: earlier, targetFetch: undefined };
+}
+
 function toTarget({ version, manifestHash }: VersionIdentity): VersionIdentity {
     return { version, manifestHash };
 }
--- a/packages/core/src/distribution/state.ts
+++ b/packages/core/src/distribution/state.ts
@@ -24,6 +24,11 @@
     readonly manifestHash: string;
 }
 
+/** The accepted version, with the changes that the head row still names, newest first. */
+export interface AcceptedVersion extends VersionIdentity {
+    readonly history?: readonly VersionIdentity[];
+}
+
 /** A version whose manifest was checked and whose parts are being gathered. */
 export interface Candidate extends VersionIdentity {
     readonly manifest: Manifest;
@@ -66,6 +71,8 @@
     readonly held: HeldConfiguration | undefined;
     readonly kept: KeptSteps;
     readonly target: VersionIdentity | undefined;
+    /** Accepted versions that the last head row named, newest first. */
+    readonly accepted: readonly VersionIdentity[];
     readonly targetFetch: TargetFetch | undefined;
     readonly candidate: Candidate | undefined;
     readonly partFetches: ReadonlyMap<string, Fetch>;
@@ -96,6 +103,7 @@
         held: options.held,
         kept: noKeptSteps,
         target: undefined,
+        accepted: [],
         targetFetch: undefined,
         candidate: undefined,
         partFetches: new Map(),
@@ -119,7 +127,7 @@
 
 export type DistributionInput =
     | { readonly kind: typeof InputKind.Message; readonly incoming: IncomingMessage }
-    | { readonly kind: typeof InputKind.Head; readonly head: VersionIdentity }
+    | { readonly kind: typeof InputKind.Head; readonly head: AcceptedVersion }
     /** Without bytes, the object store did not serve the object. */
     | { readonly kind: typeof InputKind.StoredObject; readonly hash: string; readonly bytes?: Uint8Array }
     | { readonly kind: typeof InputKind.Links; readonly links: ReadonlyMap<string, Link> }
--- a/packages/core/src/joining/readiness.ts
+++ b/packages/core/src/joining/readiness.ts
@@ -8,6 +8,7 @@
     watermarkRetryMs,
 } from "../constants.js";
 import type { Watermark } from "../messages/peerMessage.js";
+import type { Head } from "../revision/head.js";
 
 export const ReadinessState = {
     /** Not yet known to hold a version that is current enough. */
@@ -35,7 +36,7 @@
     /** Length of the pause that ended at this tick, 0 without one. */
     readonly pausedForMs: number;
     readonly held: number;
-    /** Version of the head row, `undefined` while it was not read or does not exist. */
+    /** Version of the head row that can be served, `undefined` while it was not read or does not exist. */
     readonly head: number | undefined;
     /** Time of the last read of the head row that was answered. */
     readonly headReadAt: number | undefined;
@@ -61,6 +62,15 @@
     readonly confirmation: number | undefined;
 }
 
+/**
+ * Newest accepted version that this host has not refused. A refused head must not be a floor, because no host
+ * ever holds it.
+ */
+export function servableVersion(head: Head, rejectedHashes: readonly string[]): number {
+    const servable = head.history.find(change => !rejectedHashes.includes(change.manifestHash));
+    return servable?.version ?? 0;
+}
+
 export function startJoining(now: number): Joining {
     return {
         readiness: { state: ReadinessState.Joining, reason: "starting", floor: 0, since: now },
--- a/packages/daemon/src/controllers/configuration.ts
+++ b/packages/daemon/src/controllers/configuration.ts
@@ -39,9 +39,9 @@
 
     /** Written before the messages, so that no peer hears of a version that is not yet in force here. */
     function writeChange(before: Distribution): void {
-        const { held, rejected } = state;
+        const { held, rejected, rejectedHashes } = state;
         if (held !== before.held || rejected !== before.rejected) {
-            configuration.write({ held, ...(rejected === undefined ? {} : { rejected }) });
+            configuration.write({ held, rejectedHashes, ...(rejected === undefined ? {} : { rejected }) });
         }
     }
 
--- a/packages/daemon/src/controllers/readiness.ts
+++ b/packages/daemon/src/controllers/readiness.ts
@@ -2,6 +2,7 @@
     decideReadiness,
     EventLevel,
     hostsToAsk,
+    servableVersion,
     MessageKind,
     startJoining,
     takeConfirmation,
@@ -90,11 +91,12 @@
 function readFacts(board: Board): ReadinessFacts {
     const { now, pausedForMs } = board.read("clock");
     const { head, headReadAt, reachable } = board.read("platformState");
+    const { rejectedHashes = [] } = board.read("configuration");
     return {
         now,
         pausedForMs,
         held: heldVersion(board),
-        head: head?.version,
+        head: head === undefined ? undefined : servableVersion(head, rejectedHashes),
         headReadAt,
         reachable,
         linkedHosts: [...board.read("peerLinks").keys()],
