--- a/scripts/mutate.ts
+++ b/scripts/mutate.ts
@@ -10,14 +10,19 @@
 const waiting = [...protections];
 const results = new Map<string, MutationResult>();
 
+/** Written after each mutant, so that a run that is ended early keeps its results. */
+function writeResults(): void {
+    const ordered = protections.flatMap(protection => results.get(protection.name) ?? []);
+    writeFileSync("docs/mutations.json", `${JSON.stringify(ordered, undefined, 4)}\n`);
+}
+
 async function work(): Promise<void> {
     for (let protection = waiting.shift(); protection !== undefined; protection = waiting.shift()) {
         const result = await runMutation(process.cwd(), protection);
         results.set(protection.name, result);
+        writeResults();
         process.stdout.write(`${protection.name}: ${result.red.length} scenarios turned red\n`);
     }
 }
 
 await Promise.all(Array.from({ length: parallelRuns }, work));
-const ordered = protections.map(protection => results.get(protection.name));
-writeFileSync("docs/mutations.json", `${JSON.stringify(ordered, undefined, 4)}\n`);
