--- a/scripts/bench/benchmarks.ts
+++ b/scripts/bench/benchmarks.ts
@@ -1,5 +1,7 @@
 import { controlCost } from "./control/controlCost.js";
 import { convergence } from "./control/convergence.js";
+import { herd } from "./control/herd.js";
+import { memory } from "./control/memory.js";
 import { placement } from "./control/placement.js";
 import type { Benchmark } from "./figure.js";
 
@@ -7,5 +9,7 @@
 export const benchmarks: Readonly<Record<string, Benchmark>> = {
     convergence,
     placement,
+    herd,
     "control-cost": controlCost,
+    memory,
 };
