perf(distribution): a host without a version waits for its peers before the object store

Cause: a restarted host read the manifest and its parts from the object store as soon as it knew the head, before its links were open; `herd` at 200 hosts: 3,833 reads in one second against a limit of 2,000. Change: before its first read of a manifest, a host that holds no version waits up to 2 s for a peer that holds it, and asks that peer at once. A host that holds a version reads as before.

--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -39,6 +39,12 @@
 /** Delay before the sources of a part or version are tried again after all of them failed, in milliseconds. */
 export const fetchRetryMs = 1_000;
 
+/**
+ * Longest wait of a host without a version for a peer that holds one, before it reads the manifest from the object
+ * store, in milliseconds. Without it 200 hosts that restart at once exceed the platform's 2,000 reads a second.
+ */
+export const storePatienceMs = 2_000;
+
 /** Requests for parts in flight at a time. */
 export const maxPartsInFlight = 256;
 
--- a/packages/core/src/distribution/fetching.ts
+++ b/packages/core/src/distribution/fetching.ts
@@ -1,4 +1,4 @@
-import { fetchDeadlineMs, fetchRetryMs, maxPartsInFlight } from "../constants.js";
+import { fetchDeadlineMs, fetchRetryMs, maxPartsInFlight, storePatienceMs } from "../constants.js";
 import { MessageKind } from "../messages/peerMessage.js";
 import { neededNames } from "./needs.js";
 import {
@@ -16,6 +16,8 @@
     [SourceKind.Peer]: fetchDeadlineMs,
     [SourceKind.Store]: fetchDeadlineMs,
     [SourceKind.Idle]: fetchRetryMs,
+    // Its time of sending is the end of the wait.
+    [SourceKind.Waiting]: 0,
 } satisfies Record<SourceKind, number>;
 
 function isDue(fetch: Fetch | undefined, now: number): boolean {
@@ -57,14 +59,34 @@
     if (target === undefined || covered || !isWanted(state, target)) {
         return targetFetch === undefined ? state : { ...state, targetFetch: undefined };
     }
-    if (!isDue(targetFetch, context.now)) {
+    const endsWait =
+        targetFetch?.source === SourceKind.Waiting &&
+        [...state.known.values()].some(version => version >= target.version);
+    if (!endsWait && !isDue(targetFetch, context.now)) {
         return state;
     }
-    const fetch = nextFetch(state, context, target.version, targetFetch);
+    const fetch = waitForPeers(
+        state,
+        context,
+        targetFetch,
+        nextFetch(state, context, target.version, targetFetch),
+    );
     sendTargetFetch[fetch.source](state, context, { ...fetch, target });
     return { ...state, targetFetch: { ...fetch, target } };
 }
 
+/**
+ * A host without a version gives its peers a random time before it reads the object store, so that hosts that
+ * restart together let a few of them read and get the version from those.
+ */
+function waitForPeers(state: Distribution, context: Context, before: Fetch | undefined, fetch: Fetch): Fetch {
+    const isFirst = before === undefined && state.held === undefined;
+    const waitMs = Math.floor(context.random() * storePatienceMs);
+    return isFirst && fetch.source === SourceKind.Store && waitMs > 0
+        ? { source: SourceKind.Waiting, sentAt: context.now + waitMs, tried: fetch.tried }
+        : fetch;
+}
+
 const sendTargetFetch = {
     [SourceKind.Peer]: (state: Distribution, context: Context, fetch: TargetFetch) => {
         const message = { kind: MessageKind.Pull, held: heldVersion(state) };
@@ -74,12 +96,14 @@
         context.effects.reads.push(fetch.target.manifestHash);
     },
     [SourceKind.Idle]: () => {},
+    [SourceKind.Waiting]: () => {},
 } satisfies Record<SourceKind, (state: Distribution, context: Context, fetch: TargetFetch) => void>;
 
 /** Lets the next settling ask elsewhere at once. */
 export function failTargetFetch(state: Distribution): Distribution {
     const { targetFetch } = state;
-    return targetFetch === undefined || targetFetch.source === SourceKind.Idle
+    const waits = targetFetch?.source === SourceKind.Idle || targetFetch?.source === SourceKind.Waiting;
+    return targetFetch === undefined || waits
         ? state
         : { ...state, targetFetch: { ...targetFetch, sentAt: -Infinity } };
 }
--- a/packages/core/src/distribution/state.ts
+++ b/packages/core/src/distribution/state.ts
@@ -37,8 +37,11 @@
     readonly forwarded: ReadonlySet<string>;
 }
 
-/** Where a request went. An idle one waits until its sources are tried again. */
-export const SourceKind = { Peer: "peer", Store: "store", Idle: "idle" } as const;
+/**
+ * Where a request went. An idle one waits until its sources are tried again, a waiting one for a peer that holds
+ * the version before it turns to the object store.
+ */
+export const SourceKind = { Peer: "peer", Store: "store", Idle: "idle", Waiting: "waiting" } as const;
 export type SourceKind = (typeof SourceKind)[keyof typeof SourceKind];
 
 export interface Fetch {
