perf(membership): keep the bucket and hash of each record for digests

Cause: every digest hashed all records; a host computes one for each round of anti-entropy that it starts or answers. Change: bucket and hash are kept with the record, which never changes. Digests are the same. Ruled out: a digest kept up to date with each merge, which needs no heap but puts the digest into the host table.

--- a/packages/core/src/membership/digest.ts
+++ b/packages/core/src/membership/digest.ts
@@ -7,6 +7,20 @@
     return hash32(host) % digestBuckets;
 }
 
+/** Bucket and hash of each record, because records never change and all of them enter every digest. */
+const summaries = new WeakMap<HostRecord, { readonly bucket: number; readonly hash: number }>();
+
+function summarize(record: HostRecord): { readonly bucket: number; readonly hash: number } {
+    const known = summaries.get(record);
+    if (known !== undefined) {
+        return known;
+    }
+    const { host, incarnation, counter, state } = record;
+    const summary = { bucket: bucketOf(host), hash: hash32(`${host}\n${incarnation}\n${counter}\n${state}`) };
+    summaries.set(record, summary);
+    return summary;
+}
+
 /**
  * One hash for each bucket of the live records, independent of their order. Failed and left hosts are left out,
  * because hosts forget them at different times.
@@ -15,10 +29,8 @@
     const buckets = new Array<number>(digestBuckets).fill(0);
     for (const record of records) {
         if (isLive(record)) {
-            const { host, incarnation, counter, state } = record;
-            const bucket = bucketOf(host);
-            buckets[bucket] =
-                ((buckets[bucket] ?? 0) ^ hash32(`${host}\n${incarnation}\n${counter}\n${state}`)) >>> 0;
+            const { bucket, hash } = summarize(record);
+            buckets[bucket] = ((buckets[bucket] ?? 0) ^ hash) >>> 0;
         }
     }
     return buckets;
