perf(routing): leave a tier when its wait exceeds the distance

Cause: `selection` shows that a failure domain whose callers offer more than its capacity, and a host beside a slow backend server, queued for hundreds of milliseconds while other domains were idle, because a tier was left only when all of its hosts were marked or ejected. Change: the better of two random hosts of each tier is compared by the wait that its latency, refusals and calls in flight show, plus a distance of 2, 10 and 40 ms. Observed latency halves every 5 s without a call, so a host that was slow is tried again. Ruled out: refusals as the only signal; they come when the queue is already full.

--- a/packages/core/features/routing.feature
+++ b/packages/core/features/routing.feature
@@ -30,6 +30,15 @@
         When every host is saturated
         Then a thousand choices stay in the own domain
 
+    Scenario: A tier is left when its wait exceeds the distance, and is tried again later
+        Given routing targets of 2 hosts in the own domain and 2 in another region
+        When calls take 60 ms in the own domain and 54 ms elsewhere
+        Then a thousand choices stay in the own domain
+        When calls take 900 ms in the own domain and 54 ms elsewhere
+        Then a thousand choices go to the other region
+        When 20 s pass without a call to the own domain
+        Then a thousand choices stay in the own domain
+
     Scenario Outline: The better of two random hosts is chosen
         Given routing targets of 2 hosts in the own domain and 2 in another region
         When the first host has <trait>
--- a/packages/core/features/steps/routing.ts
+++ b/packages/core/features/steps/routing.ts
@@ -138,6 +138,21 @@
     saturate(this, "near1");
 });
 
+When(
+    "calls take {int} ms in the own domain and {int} ms elsewhere",
+    function (this: World, own: number, far: number) {
+        this.observations.forEach((seen, host) =>
+            noteSuccess(seen, host.startsWith("near") ? own : far, now),
+        );
+    },
+);
+
+When("{int} s pass without a call to the own domain", function (this: World, seconds: number) {
+    this.observations.forEach((seen, host) => {
+        seen.latencyAt -= host.startsWith("near") ? seconds * 1_000 : 0;
+    });
+});
+
 When("both hosts of the own domain are saturated", function (this: World) {
     saturate(this, "near2");
 });
@@ -160,7 +175,7 @@
 
 const traits: Record<string, (seen: HostObservation) => void> = {
     "calls in flight": noteStart,
-    "a higher latency": seen => noteSuccess(seen, 50),
+    "a higher latency": seen => noteSuccess(seen, 50, now),
     "recent refusals": seen => noteRefusal(seen, now, { saturated: false, retryAfterMs: 0 }),
     "a high load": seen => noteLoad(seen, 0.9, now),
 };
@@ -201,7 +216,7 @@
 });
 
 Then("one success brings it back", function (this: World) {
-    noteSuccess(this.seen, 5);
+    noteSuccess(this.seen, 5, now);
     noteEnd(this.seen);
     const options = { observations: new Map([["x", this.seen]]), now };
     assert.deepEqual([...ejectedHosts([targetOf("x"), targetOf("y")], options)], []);
--- a/packages/core/src/routing/observation.ts
+++ b/packages/core/src/routing/observation.ts
@@ -3,6 +3,7 @@
     inFlight: number;
     /** Moving average of the time to a response head, in milliseconds. */
     latencyMs: number;
+    latencyAt: number;
     consecutiveFailures: number;
     /** Times that the host was ejected since its last success. */
     ejections: number;
@@ -20,6 +21,8 @@
 
 /** Weight of a new latency in the moving average. */
 const latencyWeight = 0.2;
+/** Age at which an observed latency counts half, in milliseconds, so that a host that was slow is tried again. */
+const latencyHalfLifeMs = 5_000;
 /** Consecutive failures after which a host is ejected. */
 export const failuresToEject = 3;
 const firstEjectionMs = 1_000;
@@ -34,6 +37,7 @@
     return {
         inFlight: 0,
         latencyMs: 0,
+        latencyAt: 0,
         consecutiveFailures: 0,
         ejections: 0,
         ejectedUntil: 0,
@@ -56,9 +60,10 @@
     seen.trialInFlight = false;
 }
 
-export function noteSuccess(seen: HostObservation, latencyMs: number): void {
+export function noteSuccess(seen: HostObservation, latencyMs: number, now: number): void {
     seen.latencyMs =
         seen.latencyMs === 0 ? latencyMs : seen.latencyMs + latencyWeight * (latencyMs - seen.latencyMs);
+    seen.latencyAt = now;
     seen.consecutiveFailures = 0;
     seen.ejections = 0;
     seen.ejectedUntil = 0;
@@ -89,6 +94,11 @@
     seen.loadAt = now;
 }
 
+/** Moving average of the latency, in milliseconds, halved every `latencyHalfLifeMs` without a call. */
+export function recentLatencyMs(seen: HostObservation, now: number): number {
+    return seen.latencyMs * 0.5 ** (Math.max(0, now - seen.latencyAt) / latencyHalfLifeMs);
+}
+
 export function recentRefusals(seen: HostObservation, now: number): number {
     return seen.refusals * 0.5 ** ((now - seen.refusedAt) / refusalHalfLifeMs);
 }
--- a/packages/core/src/routing/selection.ts
+++ b/packages/core/src/routing/selection.ts
@@ -1,5 +1,5 @@
-import { recentLoad, recentRefusals, type HostObservation } from "./observation.js";
-import { tierOrder, type ServiceTargets, type Target, type Tier } from "./targets.js";
+import { recentLatencyMs, recentLoad, recentRefusals, type HostObservation } from "./observation.js";
+import { Tier, tierOrder, type ServiceTargets, type Target } from "./targets.js";
 
 /** Smallest share of its calls that a starting host gets, so that it warms up at all. */
 const minSlowStartShare = 0.1;
@@ -23,9 +23,9 @@
 }
 
 /**
- * Chooses a host: the first tier with a usable host, and the better of two random hosts of it.
- * When every host is marked as saturated the marks are ignored, because they may be out of date
- * and the host itself refuses what it cannot take.
+ * Chooses a host: the better of two random hosts of each tier, and of these the one with the least
+ * wait and distance. When every host is marked as saturated the marks are ignored, because they may
+ * be out of date and the host itself refuses what it cannot take.
  */
 export function chooseTarget(targets: ServiceTargets, options: SelectionOptions): Selection | undefined {
     return chooseFrom(targets, options, isSaturated) ?? chooseFrom(targets, options, () => false);
@@ -37,14 +37,49 @@
     return (observations.get(host)?.saturatedUntil ?? 0) > now;
 }
 
+/**
+ * Wait that a nearer tier must cause before a tier is used, in milliseconds. The last one also stands
+ * for the price of bytes between regions. Without it a failure domain whose callers offer more than
+ * its capacity queued for hundreds of milliseconds while other domains were idle.
+ */
+const distanceMs = {
+    [Tier.OwnHost]: 0,
+    [Tier.OwnFailureDomain]: 2,
+    [Tier.OwnRegion]: 10,
+    [Tier.OtherRegions]: 40,
+} satisfies Record<Tier, number>;
+
 function chooseFrom(targets: ServiceTargets, options: SelectionOptions, skip: Skip): Selection | undefined {
-    for (const tier of tierOrder) {
+    const candidates = tierOrder.flatMap(tier => {
         const usable = usableTargets(targets[tier], options, skip);
-        if (usable.length > 0) {
-            return { target: betterOfTwo(usable, options), tier };
-        }
+        return usable.length === 0 ? [] : [{ target: betterOfTwo(usable, options), tier }];
+    });
+    if (candidates.length < 2) {
+        return candidates[0];
+    }
+    const leastMs = leastLatencyMs(options.observations);
+    const price = ({ target, tier }: Selection) => distanceMs[tier] + waitMs(target, leastMs, options);
+    return candidates.reduce((best, next) => (price(next) < price(best) ? next : best));
+}
+
+/** Least latency that was observed on a host of the service: that of a call that does not wait. */
+function leastLatencyMs(observations: ReadonlyMap<string, HostObservation>): number {
+    let least = Infinity;
+    for (const { latencyMs } of observations.values()) {
+        least = latencyMs > 0 ? Math.min(least, latencyMs) : least;
+    }
+    return least === Infinity ? 0 : least;
+}
+
+/** Time that a call is expected to lose on a host, from its latency, refusals and the calls in flight. */
+function waitMs(target: Target, leastMs: number, { observations, now }: SelectionOptions): number {
+    const seen = observations.get(target.host);
+    if (seen === undefined) {
+        return 0;
     }
-    return undefined;
+    const latencyMs = Math.max(leastMs, recentLatencyMs(seen, now));
+    const queued = Math.max(0, seen.inFlight + 1 - target.slots) / Math.max(1, target.slots);
+    return latencyMs * (1 + queued) * (1 + recentRefusals(seen, now)) - leastMs;
 }
 
 function usableTargets(tier: readonly Target[], options: SelectionOptions, skip: Skip): readonly Target[] {
@@ -81,7 +116,7 @@
 ): number {
     const seen = observations.get(target.host);
     const slots = Math.max(1, target.slots) * slowStartShare(target, now, coldStartMs);
-    const latencyMs = Math.max(unknownLatencyMs, seen?.latencyMs ?? 0);
+    const latencyMs = Math.max(unknownLatencyMs, seen === undefined ? 0 : recentLatencyMs(seen, now));
     const load = seen === undefined ? 0 : recentLoad(seen, now);
     const refusals = seen === undefined ? 0 : recentRefusals(seen, now);
     return (((seen?.inFlight ?? 0) + 1) / slots) * latencyMs * (1 + load) * (1 + refusals);
--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -60,7 +60,7 @@
     const { target, tier } = attempt.selection;
     const seen = context.observations.at(attempt.call.matched.service.name, target.host);
     const startedAt = context.now();
-    const noteHead = () => noteSuccess(seen, context.now() - startedAt);
+    const noteHead = () => noteSuccess(seen, context.now() - startedAt, context.now());
     noteStart(seen);
     const run = tier === Tier.OwnHost ? runOnOwnHost : runOnOtherHost;
     const outcome = await run(context, attempt, seen, noteHead);
--- a/scripts/bench/calls/mesh.ts
+++ b/scripts/bench/calls/mesh.ts
@@ -139,7 +139,7 @@
                 if (end === SimulatedEnd.Lost) {
                     return noteFailure(seen, queue.now());
                 }
-                noteSuccess(seen, queue.now() - startedAt);
+                noteSuccess(seen, queue.now() - startedAt, queue.now());
                 noteLoad(seen, local.reportedLoad(host), queue.now());
             },
         });
