perf(admission): a fair estimate of the wait, and half of the deadline for it

The expected wait counted every waiting call, although the fair queue lets a partner with few calls go first, so the calls of others were refused as "waitTooLong" because of a flooding partner. And a call could wait for all the time that it had left: about 1% of the calls to 12 slots were started and ran into their deadline with an unknown outcome. Change: the wait counts of each partner only as many calls, for its share, as the call's own partner has waiting; the wait may take half of the time that is left. The scenario "A call whose expected wait exceeds its deadline is refused at once" let a call of another partner ask, which the fair queue takes first; the call of the partner that waits asks now, and new scenarios hold the other partner's case and the limit of the wait.

--- a/packages/core/features/admission.feature
+++ b/packages/core/features/admission.feature
@@ -32,6 +32,16 @@
         When 100 calls wait and a call has 50 ms left where calls take 10 ms
         Then the admission is refused as "waitTooLong" with a time to come back
 
+    Scenario: Waiting calls of one partner do not get the calls of another refused
+        Given an admission state with 4 slots in use by partner "east" of share 1
+        When 100 calls of "east" wait and a call of "west" has 50 ms left where calls take 10 ms
+        Then the call of "west" waits and a call of "east" is refused as "waitTooLong"
+
+    Scenario: A call is refused when its wait leaves no time to serve it
+        Given an admission state with 4 slots in use by partner "east" of share 1
+        When 10 calls of "east" wait and a call of "east" has 1000 ms left where calls take 10 ms
+        Then a call with 50 ms left is refused and one with 70 ms left waits where calls take 10 ms
+
     Scenario: Waiting calls leave the queue when their deadline passes or their caller leaves
         Given an admission state with 4 slots in use by partner "east" of share 1
         Then expired and cancelled calls are removed and the others stay
--- a/packages/core/features/steps/admission.ts
+++ b/packages/core/features/steps/admission.ts
@@ -177,6 +177,35 @@
     },
 );
 
+When(
+    "{int} calls of {string} wait and a call of {string} has {int} ms left where calls take 10 ms",
+    function (this: World, count: number, first: string, second: string, leftMs: number) {
+        Array.from({ length: count }, () => ask(this, callOf(first, 1)));
+        this.decision = ask(this, { ...callOf(second, 1), deadline: now + leftMs });
+    },
+);
+
+Then(
+    "the call of {string} waits and a call of {string} is refused as {string}",
+    function (this: World, waiting: string, refused: string, reason: string) {
+        assert.equal(this.decision.kind, "queued");
+        assert.equal(this.state.partners.get(waiting)?.queue.length, 1);
+        const decision = ask(this, { ...callOf(refused, 1), deadline: now + 50 });
+        assert.ok(decision.kind === "refused");
+        assert.equal(decision.refusal.reason, reason);
+    },
+);
+
+Then(
+    "a call with {int} ms left is refused and one with {int} ms left waits where calls take 10 ms",
+    function (this: World, refusedMs: number, waitingMs: number) {
+        const kinds = [refusedMs, waitingMs].map(
+            leftMs => ask(this, { ...callOf("east", 1), deadline: now + leftMs }).kind,
+        );
+        assert.deepEqual(kinds, ["refused", "queued"]);
+    },
+);
+
 Then(
     "a waiting call of {string} is dropped and the call of {string} waits",
     function (this: World, dropped: string, waiting: string) {
@@ -202,7 +231,7 @@
         for (let i = 0; i < waiting; i += 1) {
             assert.equal(ask(this, callOf("east", 1)).kind, "queued");
         }
-        this.decision = ask(this, callOf("west", 1, leftMs));
+        this.decision = ask(this, callOf("east", 1, leftMs));
     },
 );
 
--- a/packages/core/src/admission/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -8,6 +8,12 @@
 /** Service time that is assumed before the first call has ended, in milliseconds. */
 const firstServiceMs = 10;
 const serviceTimeWeight = 0.2;
+/**
+ * Share of the time that a call has left which it may spend waiting for a slot. When it may wait for
+ * all of it, a queue of calls that run into their deadline stands in front of 12 slots, and 1% of the
+ * calls are started in vain.
+ */
+const maxWaitShare = 0.5;
 
 export interface WaitingCall {
     readonly callId: string;
@@ -92,8 +98,8 @@
         takeSlot(state, call.partner, server);
         return { kind: AdmissionKind.Admitted, server };
     }
-    const waitMs = expectedWaitMs(state, capacities);
-    if (waitMs > call.deadline - now) {
+    const waitMs = expectedWaitMs(state, call, capacities);
+    if (waitMs > maxWaitShare * (call.deadline - now)) {
         return refuse(RefusalReason.WaitTooLong, waitMs);
     }
     return enqueue(state, call, waitMs);
@@ -189,9 +195,19 @@
     return slots === 0 ? 1 : Math.min(1, (used + (state?.queued ?? 0)) / slots);
 }
 
-function expectedWaitMs(state: ServiceAdmission, capacities: readonly Capacity[]): number {
+/**
+ * Time until a call gets a slot. Only the calls that the fair queue takes before it count: of each
+ * partner as many, for its share, as the call's own partner has waiting. With all waiting calls, one
+ * flooding partner got the calls of the others refused.
+ */
+function expectedWaitMs(state: ServiceAdmission, call: WaitingCall, capacities: readonly Capacity[]): number {
     const slots = capacities.reduce((sum, capacity) => sum + capacity.slots, 0);
-    return ((state.queued + 1) * state.serviceMs) / slots;
+    const turns = ((state.partners.get(call.partner)?.queue.length ?? 0) + 1) / call.share;
+    let ahead = 0;
+    for (const { queue } of state.partners.values()) {
+        ahead += Math.min(queue.length, turns * (queue[0]?.share ?? 1));
+    }
+    return ((ahead + 1) * state.serviceMs) / slots;
 }
 
 function freeServer(state: ServiceAdmission, capacities: readonly Capacity[]): BackendServer | undefined {
