--- a/eslint.config.js
+++ b/eslint.config.js
@@ -23,7 +23,7 @@
     },
     { files: ["**/*.js"], rules: { "no-restricted-syntax": "off" } },
     {
-        files: ["scripts/bench/calls/*.ts"],
+        files: ["scripts/bench/**/*.ts"],
         rules: {
             "max-lines-per-function": ["error", { max: 130, skipBlankLines: true, skipComments: true }],
         },
