perf(distribution): bound the first part reads of a host without a version

Cause: `herd` at 1,000 hosts in one domain: reads of parts waited longer than their deadline and were repeated; the platform got 8,635 reads in one second, and 20.6% of the hosts held the version after 10 s. Ruled out: a random wait before each part, which delays a single restarted host by seconds. Change: a host that holds no version has at most 2 part reads in flight at the object store.

--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -45,6 +45,12 @@
  */
 export const storePatienceMs = 2_000;
 
+/**
+ * Reads of parts from the object store that a host without a version has in flight. When 1,000 hosts
+ * restart at once, 2,000 reads wait at the platform, which answers as many in 1 s, below the read deadline of 2 s.
+ */
+export const maxFirstPartReads = 2;
+
 /** Requests for parts in flight at a time. */
 export const maxPartsInFlight = 256;
 
--- a/packages/core/src/distribution/fetching.ts
+++ b/packages/core/src/distribution/fetching.ts
@@ -1,4 +1,10 @@
-import { fetchDeadlineMs, fetchRetryMs, maxPartsInFlight, storePatienceMs } from "../constants.js";
+import {
+    fetchDeadlineMs,
+    fetchRetryMs,
+    maxFirstPartReads,
+    maxPartsInFlight,
+    storePatienceMs,
+} from "../constants.js";
 import { MessageKind } from "../messages/peerMessage.js";
 import { neededNames } from "./needs.js";
 import {
@@ -125,6 +131,8 @@
     const missing = missingParts(state, candidate);
     const fetches = new Map<string, Fetch>();
     const byHost = new Map<string, string[]>();
+    const maxReads = state.held === undefined ? maxFirstPartReads : maxPartsInFlight;
+    let reads = countReads(state, missing, context.now);
     for (const hash of missing.slice(0, maxPartsInFlight)) {
         const before = state.partFetches.get(hash);
         if (before !== undefined && !isDue(before, context.now)) {
@@ -132,12 +140,19 @@
             continue;
         }
         const fetch = nextFetch(state, context, candidate.version, before, candidate.from);
+        if (fetch.source === SourceKind.Store && reads >= maxReads) {
+            if (before !== undefined) {
+                fetches.set(hash, before);
+            }
+            continue;
+        }
         fetches.set(hash, fetch);
         if (fetch.source === SourceKind.Peer) {
             const host = fetch.host as string;
             byHost.set(host, [...(byHost.get(host) ?? []), hash]);
         } else if (fetch.source === SourceKind.Store) {
             context.effects.reads.push(hash);
+            reads += 1;
         }
     }
     for (const [host, hashes] of byHost) {
@@ -149,6 +164,14 @@
     return { ...state, partFetches: fetches };
 }
 
+/** Parts whose read from the object store is in flight. */
+function countReads({ partFetches }: Distribution, hashes: readonly string[], now: number): number {
+    return hashes.filter(hash => {
+        const fetch = partFetches.get(hash);
+        return fetch?.source === SourceKind.Store && !isDue(fetch, now);
+    }).length;
+}
+
 /** Lets the next settling ask elsewhere for a part that the source did not have. */
 export function failPartFetch(state: Distribution, hash: string, host: string | undefined): Distribution {
     const fetch = state.partFetches.get(hash);
