perf(membership): spread the publication of a lag that all hosts share

Cause: when a version is delayed everywhere, every host published its lag 2 s later in the same moment; at 30,000 hosts that is 20 MB from each host (calculated from 219 bytes a record and 3 links). Ruled out: the rate of version records alone, by which a single lagging host could stay unseen for 25 minutes. Change: a random wait of at most the period of version records less 1 s (0.2 s at 24 hosts), and at most a minute. Figures: by calculation 500 records a second for a minute at 30,000 hosts; not run at that size. A scenario checks the wait at 24 and 30,000 hosts.

--- a/packages/core/features/membership.feature
+++ b/packages/core/features/membership.feature
@@ -81,6 +81,13 @@
         And new offers are published at once
         And a lag of 2 s is published once
 
+    # Guards against 30,000 records in one moment when a version is delayed everywhere.
+    Scenario: A lag that all hosts share is published over a minute
+        Given a publishing host among 30000 hosts
+        Then a lag is published 2 s to 62 s after its start, evenly over the hosts
+        Given a publishing host among 24 hosts
+        Then a lag is published 2 s to 2.2 s after its start, evenly over the hosts
+
     # Guards against a change that reaches an older copy of the table, or a wrong count of hosts.
     Scenario: A map of hosts changes without changing its older copies
         When random changes are made to a bucket map and to a plain map
--- a/packages/core/src/membership/constants.ts
+++ b/packages/core/src/membership/constants.ts
@@ -20,6 +20,8 @@
 export const maxRepairRecords = 1_000;
 /** Lag behind an announced version after which a host publishes its record. */
 export const lagMs = 2_000;
+/** Longest random wait beyond `lagMs`: a version that is delayed everywhere makes all hosts lag at once. */
+export const maxLagJitterMs = 60_000;
 /** Least time between two records that tell only of a new version. */
 export const minVersionPublicationMs = 1_000;
 /** Records per second that tell only of a new version, over the whole deployment. */
--- a/packages/core/src/membership/publication.ts
+++ b/packages/core/src/membership/publication.ts
@@ -1,4 +1,4 @@
-import { lagMs, minVersionPublicationMs, versionPublicationsPerSecond } from "./constants.js";
+import { lagMs, maxLagJitterMs, minVersionPublicationMs, versionPublicationsPerSecond } from "./constants.js";
 import type { HostRecord } from "./record.js";
 
 /** What a host has to say of itself, apart from its identity. */
@@ -14,6 +14,11 @@
     readonly laggingSince: number | undefined;
     /** Whether this lag was already published. */
     readonly lagPublished: boolean;
+    /**
+     * Random share of the jitter of this lag, from 0 to 1.
+     * @default 0
+     */
+    readonly lagShare?: number;
     readonly now: number;
 }
 
@@ -28,7 +33,9 @@
         JSON.stringify([statement.offers, statement.rejected]) !==
             JSON.stringify([self.offers, self.rejected]);
     const lagging =
-        state.laggingSince !== undefined && !state.lagPublished && now - state.laggingSince >= lagMs;
+        state.laggingSince !== undefined &&
+        !state.lagPublished &&
+        now - state.laggingSince >= lagMs + lagJitterMs(state.hosts, state.lagShare ?? 0);
     const versionDue =
         statement.version !== self.version && now - state.publishedAt >= versionPeriodMs(state.hosts);
     return urgent || lagging || versionDue;
@@ -38,3 +45,11 @@
 export function versionPeriodMs(hosts: number): number {
     return Math.max(minVersionPublicationMs, (hosts * 1_000) / versionPublicationsPerSecond);
 }
+
+/**
+ * Wait before a lag is published: at most the time in which the whole deployment keeps to its rate of version
+ * records, and at most a minute, so that operators hear of a single lagging host.
+ */
+function lagJitterMs(hosts: number, share: number): number {
+    return share * Math.min(maxLagJitterMs, versionPeriodMs(hosts) - minVersionPublicationMs);
+}
--- a/packages/daemon/src/controllers/membership.ts
+++ b/packages/daemon/src/controllers/membership.ts
@@ -78,6 +78,8 @@
         announcedVersion: 0,
         laggingSince: undefined as number | undefined,
         lagPublished: false,
+        /** Drawn anew at the start of each lag. */
+        lagShare: 0,
         nextDigestAt: now + antiEntropyMs,
         /** New links that are owed a first digest, and when. */
         firstDigests: new Map<string, number>(),
@@ -260,11 +262,15 @@
     const self = ownRecord(context);
     const statement = createStatement(context.board);
     const lagging = context.announcedVersion > statement.version;
+    if (lagging && context.laggingSince === undefined) {
+        context.lagShare = context.random();
+    }
     context.laggingSince = lagging ? (context.laggingSince ?? now) : undefined;
     context.lagPublished &&= lagging;
-    const { laggingSince, lagPublished, publishedAt } = context;
+    const { laggingSince, lagPublished, lagShare, publishedAt } = context;
     const hosts = context.table.records.size + 1;
-    if (isPublicationDue({ self, statement, publishedAt, hosts, laggingSince, lagPublished, now })) {
+    const lag = { laggingSince, lagPublished, lagShare };
+    if (isPublicationDue({ self, statement, publishedAt, hosts, ...lag, now })) {
         context.lagPublished = lagging;
         publish(context, { ...self, counter: self.counter + 1 });
     }
