--- a/scripts/bench/control/herd.ts
+++ b/scripts/bench/control/herd.ts
@@ -33,7 +33,7 @@
 /** Processes of one domain start within this time; assumed. */
 const startSpreadMs = 200;
 /** Virtual time for which the herd is followed after the platform answers. */
-const limitMs = 10_000;
+const limitMs = 30_000;
 const outageMs = 30_000;
 
 interface Sample {
