--- a/packages/core/features/support/fleet.ts
+++ b/packages/core/features/support/fleet.ts
@@ -116,6 +116,7 @@
         if (!links.carries(from, to)) {
             return;
         }
+        trouble.trace(now, `${from.name} -> ${to.name}`, message);
         const delay = 1 + Math.floor(random() * trouble.longestDelayMs);
         schedule(to, delay, () => receive(to, from.name, message));
     }
@@ -141,14 +142,13 @@
     /** Sends a request to the platform. It arrives half way through its delay. */
     function ask(host: FleetHost, request: PlatformRequest, done: (result: PlatformResult) => void): void {
         const delay = trouble.storeSlow ? 200 + random() * 2_500 : 2;
-        const isWrite =
-            request.operation === PlatformOperation.WriteRow ||
-            request.operation === PlatformOperation.WriteObject;
+        const isWrite = request.operation.startsWith("write");
         events.push({
             at: now + delay / 2,
             run: () => {
                 const fault = chooseFault(trouble, { host, request, delay, random });
                 const result = platform.answer(request, fault);
+                trouble.trace(now, `${host.name} -> ${platformEnd}`, { request, answer: result.answer });
                 const deadline = isWrite ? writeDeadlineMs : readDeadlineMs;
                 const wait = result.answer === PlatformAnswer.Lost ? deadline : delay / 2;
                 schedule(host, wait, () => done(result));
--- a/packages/core/features/support/fleetModel.ts
+++ b/packages/core/features/support/fleetModel.ts
@@ -66,6 +66,8 @@
     readonly cuts: Set<(a: FleetHost, b: FleetHost) => boolean>;
     /** Links whose messages are lost until the link is opened anew. */
     readonly silent: Set<string>;
+    /** Follows every message and platform request that is sent. */
+    trace: (now: number, line: string, value: unknown) => void;
 }
 
 export const readDeadlineMs = 2_000;
@@ -95,6 +97,7 @@
         cutFromPlatform: new Set(),
         cuts: new Set(),
         silent: new Set(),
+        trace: () => {},
     };
 }
 
