test(distribution): stale head row in the platform client, base checks

Cause: the first mutation run turned no scenario red for the two base checks, and nothing read a stale head row through the platform client of a daemon.

Change: a scenario for each, and protections for the platform client. The mutation script takes parts of names and then runs only those protections.

--- a/packages/core/features/distribution.feature
+++ b/packages/core/features/distribution.feature
@@ -58,6 +58,11 @@
             | a declared    |
             | an undeclared |
 
+    Scenario: A step applied to another base is refused for its base
+        # Guards against a manifest that is mixed from two versions, should a caller not check the base.
+        When the step from version 2 to version 3 is applied to version 1
+        Then the assembly ends as "wrongBase"
+
     Scenario Outline: A version is assembled from <parts>
         # Guards against a check that only the sender's side makes, should a caller leave it out.
         When version 2 is assembled from "<parts>"
--- a/packages/core/features/steps/assembly.ts
+++ b/packages/core/features/steps/assembly.ts
@@ -1,13 +1,15 @@
 import { Then, When } from "@cucumber/cucumber";
 import {
+    applyDelta,
     assembleConfiguration,
+    diffManifests,
     manifestHashOf,
     neededResources,
     type Manifest,
     type Part,
 } from "@tanagertray/core";
 import assert from "node:assert/strict";
-import { makeDanglingVersion, makeVersion } from "../support/versions.js";
+import { makeDanglingVersion, makeVersion, type Version } from "../support/versions.js";
 
 interface World {
     assembled: string;
@@ -37,6 +39,14 @@
     this.assembled = assembled.caseOf({ Left: ({ code }) => code, Right: () => "assembled" });
 });
 
+When("the step from version 2 to version 3 is applied to version 1", function (this: World) {
+    const [one, two, three] = [1, 2, 3].map(makeVersion) as [Version, Version, Version];
+    const delta = diffManifests(two.manifest, three.manifest);
+    const step = { base: 2, version: 3, manifestHash: three.hash, delta };
+    const applied = applyDelta(one.manifest, step);
+    this.assembled = applied.caseOf({ Left: ({ code }) => code, Right: () => "applied" });
+});
+
 Then("the assembly ends as {string}", function (this: World, code: string) {
     assert.equal(this.assembled, code);
 });
--- a/packages/core/features/steps/distribution.ts
+++ b/packages/core/features/steps/distribution.ts
@@ -155,6 +155,7 @@
 });
 
 Then("it pulls from the sender and names version 1", function (this: World) {
+    assert.equal(this.host.rejected, undefined);
     assert.equal(this.host.held?.manifest.version, 1);
     assert.deepEqual(this.effects.at(-1)?.messages, [
         { to: { host: "b" }, message: { kind: MessageKind.Pull, held: 1 } },
--- a/scripts/mutate.ts
+++ b/scripts/mutate.ts
@@ -1,19 +1,28 @@
-/** Removes each protection in turn and records which scenarios turn red, for `docs/proofs.md`. */
-import { writeFileSync } from "node:fs";
+/**
+ * Removes each protection in turn and records which scenarios turn red, for `docs/proofs.md`. With arguments,
+ * runs only the protections whose names contain one of them and keeps the recorded results of the others.
+ */
+import { existsSync, readFileSync, writeFileSync } from "node:fs";
 import { protections } from "./mutation/protections.js";
 import { runMutation } from "./mutation/runMutation.js";
 import type { MutationResult } from "./proofs/page.js";
 
 /** Copies that are tested at the same time. */
 const parallelRuns = 3;
+const file = "docs/mutations.json";
 
-const waiting = [...protections];
-const results = new Map<string, MutationResult>();
+const parts = process.argv.slice(2);
+const waiting = protections.filter(
+    ({ name }) => parts.length === 0 || parts.some(part => name.includes(part)),
+);
+const recorded: MutationResult[] =
+    parts.length > 0 && existsSync(file) ? JSON.parse(readFileSync(file, "utf8")) : [];
+const results = new Map(recorded.map(result => [result.protection, result]));
 
 /** Written after each mutant, so that a run that is ended early keeps its results. */
 function writeResults(): void {
     const ordered = protections.flatMap(protection => results.get(protection.name) ?? []);
-    writeFileSync("docs/mutations.json", `${JSON.stringify(ordered, undefined, 4)}\n`);
+    writeFileSync(file, `${JSON.stringify(ordered, undefined, 4)}\n`);
 }
 
 async function work(): Promise<void> {
--- a/scripts/mutation/protections.ts
+++ b/scripts/mutation/protections.ts
@@ -135,6 +135,18 @@
         search: "const isNewer = head.version > (target?.version ?? 0);",
         replacement: "const isNewer = head.version !== (target?.version ?? 0);",
     },
+    {
+        name: "stale head row ignored by the platform client",
+        file: "packages/daemon/src/adapters/platform.ts",
+        search: "if (head.version > (before.head?.version ?? 0)) {",
+        replacement: "if (head.version !== before.head?.version) {",
+    },
+    {
+        name: "stale read of the head row confirms nothing",
+        file: "packages/daemon/src/adapters/platform.ts",
+        search: "isStale ? before.headReadAt : Date.now()",
+        replacement: "Date.now()",
+    },
     {
         name: "record order by incarnation",
         file: `${core}/membership/order.ts`,
