--- a/packages/core/features/distribution.feature
+++ b/packages/core/features/distribution.feature
@@ -63,6 +63,12 @@
         When the step from version 2 to version 3 is applied to version 1
         Then the assembly ends as "wrongBase"
 
+    @no-dangling-route
+    Scenario: A manifest with a dangling reference is refused before any part is fetched
+        # Guards against a bad version that only the hosts with the resource refuse.
+        When a manifest with a declared dangling reference is checked
+        Then the assembly ends as "danglingReference"
+
     Scenario Outline: A version is assembled from <parts>
         # Guards against a check that only the sender's side makes, should a caller leave it out.
         When version 2 is assembled from "<parts>"
--- a/packages/core/features/steps/assembly.ts
+++ b/packages/core/features/steps/assembly.ts
@@ -2,6 +2,7 @@
 import {
     applyDelta,
     assembleConfiguration,
+    checkManifest,
     diffManifests,
     manifestHashOf,
     neededResources,
@@ -47,6 +48,12 @@
     this.assembled = applied.caseOf({ Left: ({ code }) => code, Right: () => "applied" });
 });
 
+When("a manifest with a declared dangling reference is checked", function (this: World) {
+    const { manifest, hash } = makeDanglingVersion(2, { declared: true });
+    const checked = checkManifest(manifest, 2, hash);
+    this.assembled = checked.caseOf({ Left: ({ code }) => code, Right: () => "accepted" });
+});
+
 Then("the assembly ends as {string}", function (this: World, code: string) {
     assert.equal(this.assembled, code);
 });
