test(calls): three protections of calls for the mutation run

The list of protections was empty. callProtections.ts holds retries of sent non-repeatable operations, deadlines from arrival and the claim of not run.

--- a/scripts/mutation/protections.ts
+++ b/scripts/mutation/protections.ts
@@ -1,3 +1,5 @@
+import { callProtections } from "./callProtections.js";
+
 /** One protection and the edit that takes it out. The searched text must occur exactly once in the file. */
 export interface Protection {
     readonly name: string;
@@ -6,4 +8,4 @@
     readonly replacement: string;
 }
 
-export const protections: readonly Protection[] = [];
+export const protections: readonly Protection[] = [...callProtections];
