test(hosts): faults of real daemon processes, and the last benchmarks of calls

Cause: the points about configuration were proved on state machines alone, and the demo failed with EADDRINUSE when a port from the range of outgoing connections was taken. Change: five scenarios with real processes (all daemons killed, one stopped, a partition, a one-way silent link, a restart beside a lagging peer); free ports from below that range; the benchmarks silent-connections and added-latency, whose processes end with their parent.

--- /dev/null
+++ b/features/hosts.feature
@@ -0,0 +1,57 @@
+@process
+Feature: Daemon processes under faults
+
+    # Guards against a failure domain that comes back on an older version, or does not come back.
+    @no-older-version @in-force-everywhere @herd-death @reconnect-storm @store-down @two-faults
+    Scenario: All daemons are killed at once and return while the platform is down
+        Given daemon processes "a1,a2,b1" with spread "eager" on version 2
+        When the platform goes down
+        And every daemon process is killed and started again
+        And 2000 ms pass
+        And the platform returns
+        Then every daemon process is ready on version 2 within 9000 ms
+        And no daemon process was ready on a version below 2
+
+    # Guards against a host that wakes from a pause and serves a version that the others have left.
+    @no-older-version @in-force-everywhere @lapsed-lease
+    Scenario: A daemon that was stopped during an accept serves no call before it has confirmed its version
+        Given daemon processes "a1,a2,b1" with spread "eager" on version 1
+        When daemon process "a2" is stopped for 5000 ms while version 2 is accepted and calls are sent to it
+        Then every call that waited during the stop was refused as not ready
+        And every daemon process is ready on version 2 within 3000 ms
+
+    # Guards against a partition that stops a failure domain, or that it does not recover from.
+    @no-older-version @in-force-everywhere @domain-partition @platform-partition @two-faults
+    Scenario: A failure domain that is cut off keeps its version and gets the new one after the cut
+        Given daemon processes "a1,a2,b1" with spread "eager" on version 1
+        When the links are cut, and the platform for "b1"
+        And version 2 is accepted through "a1"
+        Then every daemon process but "b1" is ready on version 2 within 9000 ms
+        And daemon process "b1" is ready on version 1
+        When the cuts end
+        Then every daemon process is ready on version 2 within 9000 ms
+
+    # Guards against a link that delivers in one direction only and is taken for a working one.
+    @in-force-everywhere @silent-connection @platform-partition @two-faults
+    Scenario: A version passes a link that was silent in one direction
+        Given daemon processes "a1,b1" with spread "eager" on version 1
+        When the platform is cut for "b1"
+        And the open links from "a1" to "b1" go silent in that direction
+        And version 2 is accepted through "a1"
+        Then every daemon process is ready on version 2 within 9000 ms
+
+    # Guards against a restarted host that takes the older version of the only peer that it reaches.
+    @no-older-version @store-down @silent-connection @two-faults
+    Scenario: A restarted daemon does not take an older version from the only peer that it reaches
+        Given daemon processes "a1,a2" with spread "lazy" on version 1
+        When the platform is cut for "a2"
+        And the open links from "a2" to "a1" go silent in that direction
+        And version 2 is accepted through "a1"
+        And 1500 ms pass
+        And the platform goes down
+        And daemon process "a1" is killed and started again
+        And 6500 ms pass
+        Then daemon process "a2" is ready on version 1
+        And no restart of "a1" was ready on a version below 2
+        When the platform returns
+        Then every daemon process but "a2" is ready on version 2 within 9000 ms
--- /dev/null
+++ b/features/steps/hosts.ts
@@ -0,0 +1,197 @@
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { RelayDirection } from "@tanagertray/standin";
+import assert from "node:assert/strict";
+import { setTimeout as sleep } from "node:timers/promises";
+import { startHostProcesses, type HostProcess, type HostProcesses } from "./hostProcesses.js";
+
+interface World {
+    processes?: HostProcesses;
+    /** Samples of each host that a fault came after. */
+    samplesBefore: Map<string, number>;
+    /** Refusal reasons of the calls that waited while a process was stopped. */
+    callReasons: (string | null)[];
+}
+
+const scenarioMs = 40_000;
+const startMs = 15_000;
+const pollMs = 25;
+const answersFiles = ["playground/kuasa/answers.jsonc", "playground/kuasa/answers.second.jsonc"] as const;
+
+After({ timeout: scenarioMs }, async function (this: World) {
+    await this.processes?.close();
+});
+
+function hostNamed({ processes }: World, name: string): HostProcess {
+    return processes?.hosts.find(host => host.name === name) as HostProcess;
+}
+
+/** Waits until every host but the excluded one is ready on the version. */
+async function waitForVersion(world: World, version: number, limitMs: number, but?: string): Promise<void> {
+    const end = performance.now() + limitMs;
+    const hosts = (world.processes?.hosts ?? []).filter(({ name }) => name !== but);
+    let last: unknown[] = [];
+    do {
+        last = await Promise.all(hosts.map(host => host.sample()));
+        if ((last as HostProcess["samples"]).every(sample => sample?.ready && sample.version === version)) {
+            return;
+        }
+        await sleep(pollMs);
+    } while (performance.now() < end);
+    assert.fail(`not on version ${version} within ${limitMs} ms: ${JSON.stringify(last)}`);
+}
+
+async function call(host: HostProcess): Promise<string | null> {
+    const headers = { "tanagertray-caller": "site-desk" };
+    const response = await fetch(`http://${host.calls}/stock/items/7`, { headers });
+    await response.arrayBuffer();
+    return response.headers.get("tanagertray-reason");
+}
+
+async function acceptVersion(world: World, through: string, version: number): Promise<void> {
+    await hostNamed(world, through).accept(answersFiles[(version - 1) % answersFiles.length] as string);
+}
+
+async function restart(world: World, hosts: readonly HostProcess[]): Promise<void> {
+    await Promise.all(hosts.map(host => host.kill()));
+    hosts.forEach(host => world.samplesBefore.set(host.name, host.samples.length));
+    hosts.forEach(host => host.start());
+}
+
+Given(
+    "daemon processes {string} with spread {string} on version {int}",
+    { timeout: scenarioMs },
+    async function (this: World, names: string, spread: string, version: number) {
+        this.processes = await startHostProcesses(names.split(","), spread);
+        this.samplesBefore = new Map();
+        const [first] = this.processes.hosts as [HostProcess];
+        const end = performance.now() + startMs;
+        while ((await first.sample()) === undefined && performance.now() < end) {
+            await sleep(pollMs);
+        }
+        for (let next = 1; next <= version; next += 1) {
+            await acceptVersion(this, first.name, next);
+            await waitForVersion(this, next, startMs);
+        }
+        // Each neighbour has then heard the version of the others.
+        await sleep(1_100);
+    },
+);
+
+When("{int} ms pass", { timeout: scenarioMs }, (ms: number) => sleep(ms));
+
+When("the platform goes down", function (this: World) {
+    (this.processes as HostProcesses).platform.faults.outage = true;
+});
+
+When("the platform returns", function (this: World) {
+    (this.processes as HostProcesses).platform.faults.outage = false;
+});
+
+When(
+    "every daemon process is killed and started again",
+    { timeout: scenarioMs },
+    async function (this: World) {
+        await restart(this, this.processes?.hosts ?? []);
+    },
+);
+
+When(
+    "daemon process {string} is killed and started again",
+    { timeout: scenarioMs },
+    async function (this: World, name: string) {
+        await restart(this, [hostNamed(this, name)]);
+    },
+);
+
+When(
+    "daemon process {string} is stopped for {int} ms while version {int} is accepted and calls are sent to it",
+    { timeout: scenarioMs },
+    async function (this: World, name: string, ms: number, version: number) {
+        const host = hostNamed(this, name);
+        // Leaves an open connection, on which one of the calls waits.
+        await call(host);
+        host.child.kill("SIGSTOP");
+        const calls = Array.from({ length: 4 }, () => call(host));
+        await acceptVersion(this, "a1", version);
+        await sleep(ms);
+        host.child.kill("SIGCONT");
+        this.callReasons = await Promise.all(calls);
+    },
+);
+
+Then("every call that waited during the stop was refused as not ready", function (this: World) {
+    assert.deepEqual(this.callReasons, new Array(this.callReasons.length).fill("notReady"));
+});
+
+When("the platform is cut for {string}", function (this: World, name: string) {
+    hostNamed(this, name).platform.cut();
+});
+
+When("the links are cut, and the platform for {string}", function (this: World, name: string) {
+    this.processes?.hosts.forEach(host => host.links.cut());
+    hostNamed(this, name).platform.cut();
+});
+
+When("the cuts end", function (this: World) {
+    this.processes?.hosts.forEach(host => [host.links, host.platform].forEach(relay => relay.restore()));
+});
+
+When(
+    "the open links from {string} to {string} go silent in that direction",
+    function (this: World, from: string, to: string) {
+        // Whichever of the two hosts dialed.
+        hostNamed(this, from).links.silence({ direction: RelayDirection.FromTarget });
+        hostNamed(this, to).links.silence({ direction: RelayDirection.ToTarget });
+    },
+);
+
+When(
+    "version {int} is accepted through {string}",
+    { timeout: scenarioMs },
+    async function (this: World, version: number, name: string) {
+        await acceptVersion(this, name, version);
+    },
+);
+
+Then(
+    "every daemon process is ready on version {int} within {int} ms",
+    { timeout: scenarioMs },
+    async function (this: World, version: number, ms: number) {
+        await waitForVersion(this, version, ms);
+    },
+);
+
+Then(
+    "every daemon process but {string} is ready on version {int} within {int} ms",
+    { timeout: scenarioMs },
+    async function (this: World, but: string, version: number, ms: number) {
+        await waitForVersion(this, version, ms, but);
+    },
+);
+
+Then(
+    "daemon process {string} is ready on version {int}",
+    async function (this: World, name: string, version: number) {
+        const sample = await hostNamed(this, name).sample();
+        assert.equal(sample?.ready, true);
+        assert.equal(sample?.version, version);
+    },
+);
+
+Then("no daemon process was ready on a version below {int}", function (this: World, version: number) {
+    this.processes?.hosts.forEach(host => checkSamples(this, host, version));
+});
+
+Then(
+    "no restart of {string} was ready on a version below {int}",
+    function (this: World, name: string, version: number) {
+        checkSamples(this, hostNamed(this, name), version);
+    },
+);
+
+function checkSamples({ samplesBefore }: World, host: HostProcess, version: number): void {
+    const samples = host.samples.slice(samplesBefore.get(host.name));
+    assert.ok(samples.length > 0, `${host.name} was sampled`);
+    const older = samples.filter(sample => sample.ready && sample.version < version);
+    assert.deepEqual(older, [], `${host.name} served an older version`);
+}
--- /dev/null
+++ b/packages/standin/src/freePorts.ts
@@ -0,0 +1,30 @@
+import { once } from "node:events";
+import { createServer, type Server } from "node:net";
+
+/** Ports from here up to the range from which systems take the ports of outgoing connections. */
+const firstPort = 20_000;
+const portCount = 12_000;
+
+/**
+ * Finds free loopback ports outside the range of outgoing connections: a port inside it may be taken by a
+ * connection before the process that it is meant for listens. All are held until the last is found.
+ */
+export async function findFreePorts(count: number): Promise<readonly number[]> {
+    const held: Server[] = [];
+    const ports: number[] = [];
+    let offset = Math.floor(Math.random() * portCount);
+    for (let tries = 0; ports.length < count && tries < portCount; tries += 1) {
+        offset = (offset + 1) % portCount;
+        const server = createServer().listen(firstPort + offset, "127.0.0.1");
+        const isFree = await once(server, "listening").then(
+            () => true,
+            () => false,
+        );
+        if (isFree) {
+            held.push(server);
+            ports.push(firstPort + offset);
+        }
+    }
+    await Promise.all(held.map(server => once(server.close(), "close")));
+    return ports;
+}
--- a/packages/standin/src/relay.ts
+++ b/packages/standin/src/relay.ts
@@ -12,6 +12,9 @@
 } as const;
 export type NewConnections = (typeof NewConnections)[keyof typeof NewConnections];
 
+export const RelayDirection = { ToTarget: "toTarget", FromTarget: "fromTarget" } as const;
+export type RelayDirection = (typeof RelayDirection)[keyof typeof RelayDirection];
+
 export interface RelayOptions {
     /** `address:port` to connect to. */
     target: string;
@@ -32,8 +35,11 @@
     readonly address: string;
     /** Resets open connections and refuses new ones. */
     cut(): void;
-    /** Keeps open connections without passing a byte; new ones pass unless the option says otherwise. */
-    silence(options?: { newConnections?: NewConnections }): void;
+    /**
+     * Keeps open connections without passing a byte, in both directions or only in the given one; new ones
+     * pass unless the option says otherwise.
+     */
+    silence(options?: { newConnections?: NewConnections; direction?: RelayDirection }): void;
     /** Holds every chunk for this many milliseconds. */
     delay(ms: number): void;
     /** Ends every fault. Bytes held by a silence are passed on. */
@@ -50,7 +56,7 @@
 interface Pair {
     readonly near: Socket;
     readonly far: Socket;
-    readonly directions: readonly Direction[];
+    readonly directions: Readonly<Record<RelayDirection, Direction>>;
 }
 
 /**
@@ -88,10 +94,12 @@
         const host = options.target.slice(0, colon);
         const far = connect({ host, port: Number(options.target.slice(colon + 1)), allowHalfOpen: true });
         far.setNoDelay(true);
-        const directions = [
-            passBytes(near, far, delayMs, bytes => count("bytesToTarget", bytes)),
-            passBytes(far, near, delayMs, bytes => count("bytesFromTarget", bytes)),
-        ];
+        const directions = {
+            [RelayDirection.ToTarget]: passBytes(near, far, delayMs, bytes => count("bytesToTarget", bytes)),
+            [RelayDirection.FromTarget]: passBytes(far, near, delayMs, bytes =>
+                count("bytesFromTarget", bytes),
+            ),
+        };
         const pair = { near, far, directions };
         pairs.add(pair);
         count("connections", 1);
@@ -118,14 +126,14 @@
             mode.update(before => ({ ...before, newConnections: NewConnections.Refuse }));
             reset();
         },
-        silence({ newConnections = NewConnections.Pass } = {}) {
+        silence({ newConnections = NewConnections.Pass, direction } = {}) {
             mode.update(before => ({ ...before, newConnections }));
-            pairs.forEach(silencePair);
+            pairs.forEach(pair => silencePair(pair, direction));
         },
         delay: ms => mode.update(before => ({ ...before, delayMs: ms })),
         restore() {
             mode.write({ newConnections: NewConnections.Pass, delayMs: 0 });
-            pairs.forEach(pair => pair.directions.forEach(direction => direction.resume()));
+            pairs.forEach(pair => Object.values(pair.directions).forEach(direction => direction.resume()));
         },
         counters: () => board.read("counters"),
         close() {
@@ -135,6 +143,8 @@
     };
 }
 
-function silencePair(pair: Pair): void {
-    pair.directions.forEach(direction => direction.silence());
+function silencePair({ directions }: Pair, only?: RelayDirection): void {
+    (only === undefined ? Object.values(directions) : [directions[only]]).forEach(direction =>
+        direction.silence(),
+    );
 }
--- a/scripts/bench/benchmarks.ts
+++ b/scripts/bench/benchmarks.ts
@@ -3,8 +3,10 @@
 import { herd } from "./control/herd.js";
 import { memory } from "./control/memory.js";
 import { placement } from "./control/placement.js";
+import { addedLatency } from "./calls/addedLatency.js";
 import { overload } from "./calls/overload.js";
 import { selection } from "./calls/selection.js";
+import { silentConnections } from "./calls/silentConnections.js";
 import type { Benchmark } from "./figure.js";
 
 /** Every benchmark by its name. */
@@ -15,5 +17,7 @@
     "control-cost": controlCost,
     overload,
     selection,
+    "silent-connections": silentConnections,
+    "added-latency": addedLatency,
     memory,
 };
--- a/scripts/demo/fleet.ts
+++ b/scripts/demo/fleet.ts
@@ -1,4 +1,4 @@
-import { startPlatform, type Platform } from "@tanagertray/standin";
+import { findFreePorts, startPlatform, type Platform } from "@tanagertray/standin";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -6,7 +6,6 @@
 import type { ControlByteMeter } from "./controlBytes.js";
 import type { PlannedHost } from "./deployment.js";
 import { keys } from "./keys.js";
-import { findFreeAddresses } from "./ports.js";
 import type { Processes } from "./processes.js";
 import { isReady, readAdmin } from "./status.js";
 import { waitUntil } from "./waiting.js";
@@ -35,7 +34,8 @@
     let platform: Platform | undefined;
 
     async function placeHosts(planned: readonly PlannedHost[]): Promise<readonly DemoHost[]> {
-        const addresses = await findFreeAddresses(planned.length * 3);
+        const ports = await findFreePorts(planned.length * 3);
+        const addresses = ports.map(port => `127.0.0.1:${port}`);
         return planned.map((host, index) => ({
             ...host,
             calls: addresses[3 * index] as string,
