refactor(membership): split the controller, and one derivation of own offers

Change: context and publication are modules of their own; the host record's changing part is called advertisement; routing uses the same offers. Conclusion: behaviour stays, except that slow start on the own host counts from the start of the backend server, as on other hosts.

--- a/packages/core/features/steps/membership.ts
+++ b/packages/core/features/steps/membership.ts
@@ -333,7 +333,7 @@
 Given("a publishing host among {int} hosts", function (this: World, hosts: number) {
     this.publication = {
         self: record("a1"),
-        statement: { state: HostState.Alive, offers: [], version: 0 },
+        advertisement: { state: HostState.Alive, offers: [], version: 0 },
         publishedAt: start,
         hosts,
         laggingSince: undefined,
@@ -343,15 +343,15 @@
 });
 
 Then("a new version alone is published after {int} s", function (this: World, seconds: number) {
-    const changed = { ...this.publication, statement: { ...this.publication.statement, version: 7 } };
+    const changed = { ...this.publication, advertisement: { ...this.publication.advertisement, version: 7 } };
     assert.equal(isPublicationDue({ ...changed, now: start + seconds * 1_000 - 1 }), false);
     assert.equal(isPublicationDue({ ...changed, now: start + seconds * 1_000 }), true);
 });
 
 Then("new offers are published at once", function (this: World) {
     const offers = [{ service: "stock", slots: 12, startedAt: start }];
-    const statement = { ...this.publication.statement, offers };
-    assert.equal(isPublicationDue({ ...this.publication, statement }), true);
+    const advertisement = { ...this.publication.advertisement, offers };
+    assert.equal(isPublicationDue({ ...this.publication, advertisement }), true);
 });
 
 Then("a lag of 2 s is published once", function (this: World) {
--- a/packages/core/src/membership/publication.ts
+++ b/packages/core/src/membership/publication.ts
@@ -1,12 +1,12 @@
 import { lagMs, maxLagJitterMs, minVersionPublicationMs, versionPublicationsPerSecond } from "./constants.js";
 import type { HostRecord } from "./record.js";
 
-/** What a host has to say of itself, apart from its identity. */
-export type Statement = Pick<HostRecord, "state" | "offers" | "version" | "rejected">;
+/** What a host publishes of itself, apart from its identity. */
+export type Advertisement = Pick<HostRecord, "state" | "offers" | "version" | "rejected">;
 
 export interface PublicationState {
     readonly self: HostRecord;
-    readonly statement: Statement;
+    readonly advertisement: Advertisement;
     readonly publishedAt: number;
     /** Number of known hosts. */
     readonly hosts: number;
@@ -27,17 +27,17 @@
  * held version waits, so that the whole deployment writes a bounded number of such records per second.
  */
 export function isPublicationDue(state: PublicationState): boolean {
-    const { self, statement, now } = state;
+    const { self, advertisement, now } = state;
     const urgent =
-        statement.state !== self.state ||
-        JSON.stringify([statement.offers, statement.rejected]) !==
+        advertisement.state !== self.state ||
+        JSON.stringify([advertisement.offers, advertisement.rejected]) !==
             JSON.stringify([self.offers, self.rejected]);
     const lagging =
         state.laggingSince !== undefined &&
         !state.lagPublished &&
         now - state.laggingSince >= lagMs + lagJitterMs(state.hosts, state.lagShare ?? 0);
     const versionDue =
-        statement.version !== self.version && now - state.publishedAt >= versionPeriodMs(state.hosts);
+        advertisement.version !== self.version && now - state.publishedAt >= versionPeriodMs(state.hosts);
     return urgent || lagging || versionDue;
 }
 
--- a/packages/core/src/membership/refutation.ts
+++ b/packages/core/src/membership/refutation.ts
@@ -2,7 +2,7 @@
 import { HostState, type HostRecord } from "./record.js";
 
 /**
- * The record with which a host answers news of itself, or `undefined` when its own record already wins.
+ * The record with which a host refutes a record of itself, or `undefined` when its own record already wins.
  * A host that is leaving refutes nothing.
  */
 export function refute(self: HostRecord, heard: HostRecord): HostRecord | undefined {
--- a/packages/daemon/src/controllers/advertisement.ts
+++ b/packages/daemon/src/controllers/advertisement.ts
@@ -3,27 +3,33 @@
     HostState,
     ResourceKind,
     resourceName,
+    type Advertisement,
     type Service,
-    type Statement,
+    type ServiceOffer,
 } from "@tanagertray/core";
 import type { Board } from "../board.js";
 
-/** What this host has to say of itself now. */
-export function createStatement(board: Board): Statement {
-    const { held, rejected } = board.read("configuration");
-    const slotsOf = (service: string) => {
-        const name = resourceName(ResourceKind.Service, service);
-        return (held?.resources.get(name) as Service | undefined)?.slots;
-    };
+/** What this host publishes of itself now. */
+export function createAdvertisement(board: Board): Advertisement {
+    const { rejected } = board.read("configuration");
     const leaving = board.read("shutdown").requested;
     return {
         state: leaving ? HostState.Left : HostState.Alive,
-        offers: leaving ? [] : computeOffers(board.read("backendServers").values(), slotsOf),
+        offers: leaving ? [] : ownOffers(board),
         version: heldVersion(board),
         ...(rejected === undefined ? {} : { rejected }),
     };
 }
 
+/** Services of this host's backend servers that take work. */
+export function ownOffers(board: Board): ServiceOffer[] {
+    const resources = board.read("configuration").held?.resources;
+    return computeOffers(board.read("backendServers").values(), service => {
+        const name = resourceName(ResourceKind.Service, service);
+        return (resources?.get(name) as Service | undefined)?.slots;
+    });
+}
+
 export function heldVersion(board: Board): number {
     return board.read("configuration").held?.manifest.version ?? 0;
 }
--- a/packages/daemon/src/controllers/membership.ts
+++ b/packages/daemon/src/controllers/membership.ts
@@ -3,36 +3,42 @@
     compareRecords,
     computeDigest,
     detectFailures,
-    emptyHostTable,
     EventLevel,
     expireTombstones,
     hasMoved,
     HostState,
-    isPublicationDue,
     mergeRecords,
     MessageKind,
     recordsOfBuckets,
     refute,
     takeNextIncarnation,
-    type Absences,
     type HostRecord,
     type IncomingMessage,
-    type OutgoingMessage,
     type PeerMessage,
 } from "@tanagertray/core";
 import type { Board } from "../board.js";
 import type { Closeable } from "../closeable.js";
+import { heldVersion } from "./advertisement.js";
+import {
+    allRecords,
+    antiEntropyMs,
+    createContext,
+    note,
+    noteAnnounced,
+    ownRecord,
+    raiseWatermark,
+    send,
+    sendRecords,
+    watermarkOf,
+    type Context,
+} from "./membershipContext.js";
 import { notePendingFull, noteRepairLimited, noteTombstonesFull } from "./membershipLimits.js";
-import { createStatement, heldVersion } from "./statement.js";
+import { publish, publishIfDue } from "./publishing.js";
 
-/** Period of anti-entropy with one random linked host, in milliseconds. */
-const antiEntropyMs = 10_000;
 /** Spread of the first digest after a new link, so that joining herds do not ask at once, in milliseconds. */
 const joinJitterMs = 1_000;
 /** Gap in the clock after which the silence of others proves nothing, in milliseconds. */
 const pauseMs = 3_000;
-/** Most records in one message; at about 150 bytes each, one message takes 150 KB. */
-const recordsPerMessage = 1_000;
 /** Received records that wait for the next tick; anti-entropy repairs what is dropped. */
 const maxPendingRecords = 65_536;
 
@@ -41,7 +47,7 @@
     readonly random?: () => number;
 }
 
-/** Keeps the host records: publishes the own one, merges those of others and detects failures. */
+/** Keeps the host records: publishes that of this host, merges those of others and detects failures. */
 export function createMembership(board: Board, options: MembershipOptions = {}): Closeable {
     const context = createContext(board, options);
     const subscriptions = [
@@ -56,37 +62,6 @@
     return { close: () => subscriptions.forEach(subscription => subscription.close()) };
 }
 
-type Context = ReturnType<typeof createContext>;
-
-function createContext(board: Board, { random = Math.random }: MembershipOptions) {
-    const { now } = board.read("clock");
-    return {
-        board,
-        random,
-        membership: board.claimValue("membership"),
-        outbox: board.claimFeed("membershipOutbox"),
-        events: board.claimFeed("membershipEvents"),
-        table: emptyHostTable,
-        absences: new Map() as Absences,
-        /** Received records by sender, until the next tick. */
-        pending: new Map<string, HostRecord[]>(),
-        pendingCount: 0,
-        /** Versions seen since the last write of the watermarks. */
-        raised: new Map<string, number>(),
-        moved: false,
-        greeted: new Set<string>(),
-        publishedAt: now,
-        announcedVersion: 0,
-        laggingSince: undefined as number | undefined,
-        lagPublished: false,
-        /** Drawn anew at the start of each lag. */
-        lagShare: 0,
-        nextDigestAt: now + antiEntropyMs,
-        /** New links that are owed a first digest, and when. */
-        firstDigests: new Map<string, number>(),
-    };
-}
-
 type InboxHandler<K extends MessageKind> = (
     context: Context,
     incoming: IncomingMessage & { message: Extract<PeerMessage, { kind: K }> },
@@ -153,7 +128,7 @@
 }
 
 /**
- * A new link gets the own record at once, and a digest from one of its sides after a jitter: records that were
+ * A new link gets the record of this host at once, and a digest from one of its sides after a jitter: records that were
  * spread before the link opened would otherwise wait for a round of anti-entropy.
  */
 function greetNewLinks(context: Context): void {
@@ -264,36 +239,6 @@
     sendRecords(context, { allBut: [] }, changed);
 }
 
-function publishIfDue(context: Context): void {
-    const { board } = context;
-    const { now } = board.read("clock");
-    const self = ownRecord(context);
-    const statement = createStatement(context.board);
-    const lagging = context.announcedVersion > statement.version;
-    if (lagging && context.laggingSince === undefined) {
-        context.lagShare = context.random();
-    }
-    context.laggingSince = lagging ? (context.laggingSince ?? now) : undefined;
-    context.lagPublished &&= lagging;
-    const { laggingSince, lagPublished, lagShare, publishedAt } = context;
-    const hosts = context.table.records.size + 1;
-    const lag = { laggingSince, lagPublished, lagShare };
-    if (isPublicationDue({ self, statement, publishedAt, hosts, ...lag, now })) {
-        context.lagPublished = lagging;
-        publish(context, { ...self, counter: self.counter + 1 });
-    }
-}
-
-/** Sends the record with whatever the host has to say now. */
-function publish(context: Context, record: HostRecord): void {
-    context.publishedAt = context.board.read("clock").now;
-    const { host, failureDomain, region, incarnation, counter, peerAddress } = record;
-    const identity = { host, failureDomain, region, incarnation, counter, peerAddress };
-    const self = { ...identity, ...createStatement(context.board) };
-    context.membership.update(before => ({ ...before, self }));
-    sendRecords(context, { allBut: [] }, [self]);
-}
-
 function sendDueDigests(context: Context, now: number): void {
     const { board, firstDigests, random } = context;
     const hosts = [...board.read("peerLinks").keys()];
@@ -311,17 +256,6 @@
     }
 }
 
-function sendRecords(context: Context, to: OutgoingMessage["to"], records: readonly HostRecord[]): void {
-    for (let at = 0; at < records.length; at += recordsPerMessage) {
-        const part = records.slice(at, at + recordsPerMessage);
-        send(context, { to, message: { kind: MessageKind.Records, records: part } });
-    }
-}
-
-function send({ outbox }: Context, outgoing: OutgoingMessage): void {
-    outbox.append(outgoing);
-}
-
 function writeMembership(context: Context, before: ReadonlyMap<string, HostRecord>): void {
     const { moved, raised } = context;
     const { records } = context.table;
@@ -339,34 +273,3 @@
         composition: composition + (moved ? 1 : 0),
     }));
 }
-
-function raiseWatermark(context: Context, host: string, version: number): void {
-    if (version > watermarkOf(context, host)) {
-        context.raised.set(host, version);
-    }
-}
-
-function watermarkOf({ board, raised }: Context, host: string): number {
-    return raised.get(host) ?? board.read("membership").watermarks.get(host) ?? 0;
-}
-
-function noteAnnounced(context: Context, version: number): void {
-    context.announcedVersion = Math.max(context.announcedVersion, version);
-}
-
-function ownRecord({ board }: Context): HostRecord {
-    return board.read("membership").self;
-}
-
-function allRecords(context: Context): HostRecord[] {
-    return [ownRecord(context), ...context.table.records.values()];
-}
-
-function note(
-    { events }: Context,
-    name: string,
-    level: EventLevel,
-    fields: Record<string, string | number | undefined>,
-): void {
-    events.append({ name, level, fields });
-}
--- /dev/null
+++ b/packages/daemon/src/controllers/publishing.ts
@@ -0,0 +1,34 @@
+import { isPublicationDue, type HostRecord } from "@tanagertray/core";
+import { createAdvertisement } from "./advertisement.js";
+import { ownRecord, sendRecords, type Context } from "./membershipContext.js";
+
+/** Publishes the record of this host when the publication rule says so. */
+export function publishIfDue(context: Context): void {
+    const { board } = context;
+    const { now } = board.read("clock");
+    const self = ownRecord(context);
+    const advertisement = createAdvertisement(context.board);
+    const lagging = context.announcedVersion > advertisement.version;
+    if (lagging && context.laggingSince === undefined) {
+        context.lagShare = context.random();
+    }
+    context.laggingSince = lagging ? (context.laggingSince ?? now) : undefined;
+    context.lagPublished &&= lagging;
+    const { laggingSince, lagPublished, lagShare, publishedAt } = context;
+    const hosts = context.table.records.size + 1;
+    const lag = { laggingSince, lagPublished, lagShare };
+    if (isPublicationDue({ self, advertisement, publishedAt, hosts, ...lag, now })) {
+        context.lagPublished = lagging;
+        publish(context, { ...self, counter: self.counter + 1 });
+    }
+}
+
+/** Publishes the record with the present advertisement of this host. */
+export function publish(context: Context, record: HostRecord): void {
+    context.publishedAt = context.board.read("clock").now;
+    const { host, failureDomain, region, incarnation, counter, peerAddress } = record;
+    const identity = { host, failureDomain, region, incarnation, counter, peerAddress };
+    const self = { ...identity, ...createAdvertisement(context.board) };
+    context.membership.update(before => ({ ...before, self }));
+    sendRecords(context, { allBut: [] }, [self]);
+}
--- a/packages/daemon/src/controllers/routing.ts
+++ b/packages/daemon/src/controllers/routing.ts
@@ -1,12 +1,7 @@
-import {
-    BackendServerState,
-    findTargets,
-    ResourceKind,
-    resourceName,
-    type HostRecord,
-} from "@tanagertray/core";
+import { findTargets, type HostRecord } from "@tanagertray/core";
 import type { Board } from "../board.js";
 import type { Closeable } from "../closeable.js";
+import { ownOffers } from "./advertisement.js";
 
 /** Writes the hosts that offer each service, from the records of the hosts. */
 export function createRouting(board: Board): Closeable {
@@ -24,30 +19,9 @@
     }
 
     function findAll(self: HostRecord, records: ReadonlyMap<string, HostRecord>): void {
+        // Own backend servers count at once, before the record of this host is published.
         const others = [...records.values()].filter(record => record.host !== self.host);
-        targets.write(findTargets(self, [...others, { ...self, offers: ownOffers() }]));
-    }
-
-    /** Own backend servers count at once, before the own record was published. */
-    function ownOffers() {
-        const serving = [...board.read("backendServers").values()].filter(
-            server => server.state === BackendServerState.Serving,
-        );
-        return [...new Set(serving.map(server => server.service))].map(service => {
-            const ofService = serving.filter(server => server.service === service);
-            return {
-                service,
-                slots: ofService.reduce((sum, server) => sum + (server.slots ?? slotsOf(service)), 0),
-                startedAt: Math.max(...ofService.map(server => server.firstSeenAt)),
-            };
-        });
-    }
-
-    function slotsOf(service: string): number {
-        const resource = board
-            .read("configuration")
-            .held?.resources.get(resourceName(ResourceKind.Service, service));
-        return resource?.kind === ResourceKind.Service ? resource.slots : 1;
+        targets.write(findTargets(self, [...others, { ...self, offers: ownOffers(board) }]));
     }
 
     findWhenChanged();
