fix(calls): a refusal during the drain no longer closes a connection on which a body still arrives

The refusal carried connection: close, so the listener closed the connection while the body still arrived; the reset then overtook the refusal. Ruled out: calls in flight, which all ended. Change: connection: close is only sent once the whole request was received.

--- a/packages/daemon/features/calls.feature
+++ b/packages/daemon/features/calls.feature
@@ -103,6 +103,13 @@
         Then the 5 calls in flight finish
         And a new call on a kept connection hears "not-run" with its connection closed
 
+    # Guards against a connection that is closed while a body still arrives: the reset would overtake the refusal.
+    @graceful-shutdown @not-run-is-true
+    Scenario: Uploads that meet a draining daemon hear that they did not run
+        Given a call deployment of 1 hosts
+        When 12 uploads of 8000000 bytes meet a daemon that shuts down
+        Then each of the uploads hears "not-run" and no backend server ran it
+
     Scenario: Calls in flight on a backend server that never ends are cut at the drain limit
         Given a call deployment of 1 hosts
         When the backend server drains with one finishing call and one that never ends
--- a/packages/daemon/features/steps/calls.ts
+++ b/packages/daemon/features/steps/calls.ts
@@ -208,6 +208,24 @@
     agent.destroy();
 });
 
+When(
+    "{int} uploads of {int} bytes meet a daemon that shuts down",
+    async function (this: World, count: number, bytes: number) {
+        const entry = entryOf(this);
+        entry.board.claimValue("shutdown").write({ requested: true });
+        const upload = { method: "POST", path: "/x", body: Buffer.alloc(bytes) };
+        this.answers = await Promise.all(Array.from({ length: count }, () => call(entry, upload)));
+    },
+);
+
+Then(
+    "each of the uploads hears {string} and no backend server ran it",
+    function (this: World, outcome: string) {
+        assert.deepEqual([...new Set(this.answers.map(resultOf))], [outcome]);
+        assert.equal(this.deployment.ledger.length, 0);
+    },
+);
+
 Then("the {int} calls in flight finish", function (this: World, count: number) {
     const bodies = this.answers.map(answer => `${answer.status} ${answer.body.toString()}`);
     assert.deepEqual(
--- a/packages/daemon/src/adapters/calls/handleEntry.ts
+++ b/packages/daemon/src/adapters/calls/handleEntry.ts
@@ -29,7 +29,7 @@
     type IncomingCall,
 } from "./incoming.js";
 import { createRequestBody, type RequestBody } from "./requestBody.js";
-import { resetConnection, sayNotRun, sayUnknown, sinkTo } from "./responses.js";
+import { hasArrived, resetConnection, sayNotRun, sayUnknown, sinkTo } from "./responses.js";
 
 /** Time to ask for a call's fate once the deadline has passed, in milliseconds. */
 const lateFateWaitMs = 200;
@@ -182,7 +182,8 @@
         traceparent,
         control,
         onHead(status, raw) {
-            const closing = context.board.read("shutdown").requested ? ["connection", "close"] : [];
+            const closes = context.board.read("shutdown").requested && hasArrived(response);
+            const closing = closes ? ["connection", "close"] : [];
             // "Not run" by the backend server holds for this attempt only, not for an earlier lost one.
             const kept = entry.mayHaveRun ? noHeaders : keptHeaders;
             const unknown = entry.mayHaveRun && saysNotRun(raw) ? unknownOutcomeHeader : [];
--- a/packages/daemon/src/adapters/calls/handleHop.ts
+++ b/packages/daemon/src/adapters/calls/handleHop.ts
@@ -9,7 +9,7 @@
 import { checkAdmitting, deadlineOf, openCancel, readCall, type IncomingCall } from "./incoming.js";
 import { runLocally } from "./localCall.js";
 import { createRequestBody } from "./requestBody.js";
-import { resetConnection, sayNotRun, sayUnknown, sinkTo } from "./responses.js";
+import { hasArrived, resetConnection, sayNotRun, sayUnknown, sinkTo } from "./responses.js";
 
 interface VerifiedHop {
     readonly call: IncomingCall;
@@ -72,7 +72,8 @@
         onHead(status, raw) {
             clearInterval(progress);
             const load = String(Math.round(context.admissions.load(matched.service) * 1_000) / 1_000);
-            const closing = context.board.read("shutdown").requested ? ["connection", "close"] : [];
+            const closes = context.board.read("shutdown").requested && hasArrived(response);
+            const closing = closes ? ["connection", "close"] : [];
             response.writeHead(status, [
                 ...responseHeaders(raw, keptHeaders),
                 ...["tanagertray-load", load],
--- a/packages/daemon/src/adapters/calls/responses.ts
+++ b/packages/daemon/src/adapters/calls/responses.ts
@@ -7,13 +7,24 @@
     readonly close: boolean;
 }
 
+/**
+ * Whether the whole request was received. A listener that closes a connection while a body still arrives resets
+ * it, and the caller may lose the response.
+ */
+export function hasArrived({ req }: ServerResponse): boolean {
+    const { complete, headers } = req;
+    const hasNoBody =
+        headers["transfer-encoding"] === undefined && Number(headers["content-length"] ?? 0) === 0;
+    return complete || hasNoBody;
+}
+
 /** Answers that no part of the call ran. */
 export function sayNotRun(response: ServerResponse, refused: Refusal, { close }: RefusalOptions): void {
     const status = statusOfRefusal(refused.reason);
     const retryAfter = String(Math.max(1, Math.ceil(refused.retryAfterMs / 1_000)));
     say(response, status, CallOutcome.NotRun, refused.reason, {
         "retry-after": retryAfter,
-        ...(close ? { connection: "close" } : {}),
+        ...(close && hasArrived(response) ? { connection: "close" } : {}),
     });
 }
 
