refactor(calls): one derivation of the drain limit

Cause: createCalls derived the longest drain time of the held services again, beside draining.ts, with a second constant for the same 30 s. Change: createCalls calls drainLimitMs of draining.ts; the constant defaultDrainMs is gone. Conclusion: behaviour stays.

--- a/packages/daemon/src/adapters/calls/constants.ts
+++ b/packages/daemon/src/adapters/calls/constants.ts
@@ -24,7 +24,5 @@
 export const connectTimeoutMs = 1_000;
 /** Pools are closed when unused for this time, in milliseconds. */
 export const poolUnusedMs = 60_000;
-/** Longest time that `close` waits for calls in flight when no configuration is held. */
-export const defaultDrainMs = 30_000;
 /** Gap between the clock's ticks of 100 ms above which the process counts as having stalled, in milliseconds. */
 export const stallMs = 500;
--- a/packages/daemon/src/adapters/calls/createCalls.ts
+++ b/packages/daemon/src/adapters/calls/createCalls.ts
@@ -1,10 +1,10 @@
-import { createRetryBudget, ResourceKind } from "@tanagertray/core";
+import { createRetryBudget } from "@tanagertray/core";
 import type { IncomingMessage, RequestListener, ServerResponse } from "node:http";
 import type { Board } from "../../board.js";
 import type { Closeable } from "../../closeable.js";
+import { drainLimitMs } from "../../draining.js";
 import { closeListener, keepAliveTimeoutMs, openListener } from "../httpListener.js";
 import { createAdmissions } from "./admissions.js";
-import { defaultDrainMs } from "./constants.js";
 import type { CallContext } from "./context.js";
 import { createFates } from "./fates.js";
 import { handleEntry } from "./handleEntry.js";
@@ -85,12 +85,6 @@
         board.observe(["targets", "backendServers"], retireGone),
     ];
 
-    function drainLimitMs(): number {
-        const resources = [...(board.read("configuration").held?.resources.values() ?? [])];
-        const services = resources.filter(resource => resource.kind === ResourceKind.Service);
-        return services.length === 0 ? defaultDrainMs : Math.max(...services.map(service => service.drainMs));
-    }
-
     return {
         handleHop: track(handleHop),
         port: (server.address() as { port: number }).port,
@@ -98,7 +92,7 @@
             const timer = setTimeout(() => {
                 context.cancels.forEach(cancel => cancel.abort(stopped));
                 server.closeAllConnections();
-            }, drainLimitMs());
+            }, drainLimitMs(board));
             const closed = closeListener(server, { idleGraceMs: keepAliveTimeoutMs });
             while (inFlight.size > 0) {
                 await Promise.all(inFlight);
