--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "build/**", "node_modules/**"] },
+    { ignores: ["**/dist/**", "build/**", "target/**", "node_modules/**"] },
     ...tseslint.configs.recommended,
     {
         files: ["**/*.ts"],
--- a/packages/core/src/admission/announcement.ts
+++ b/packages/core/src/admission/announcement.ts
@@ -40,6 +40,7 @@
     state: value => states.has(value),
     slots: value => value === undefined || isCount(value),
     connections: value => value === undefined || isCount(value),
+    leaseMs: value => value === undefined || isCount(value),
     load: value => value === undefined || (typeof value === "number" && value >= 0 && value <= 1),
 } satisfies Record<keyof Announcement, (value: unknown) => boolean>;
 
@@ -64,5 +65,5 @@
 }
 
 export function hasLease(server: BackendServer, now: number): boolean {
-    return now - server.announcedAt <= announcementLeaseMs;
+    return now - server.announcedAt <= (server.leaseMs ?? announcementLeaseMs);
 }
--- a/packages/core/src/admission/backendServer.ts
+++ b/packages/core/src/admission/backendServer.ts
@@ -23,6 +23,11 @@
     readonly connections?: number;
     /** Share of its slots that the backend server says are in use, from 0 to 1. May lag or mislead. */
     readonly load?: number;
+    /**
+     * Silence after which the backend server gets no more work, in milliseconds.
+     * @default announcementLeaseMs
+     */
+    readonly leaseMs?: number;
 }
 
 export interface BackendServer extends Announcement {
--- a/packages/core/src/calls/refusal.ts
+++ b/packages/core/src/calls/refusal.ts
@@ -18,6 +18,10 @@
     DeadlinePassed: "deadlinePassed",
     Barred: "barred",
     Unreachable: "unreachable",
+    /** The backend server itself refused the call without running it. */
+    BackendRefused: "backendRefused",
+    /** Another backend server than the expected one has the address now. */
+    BackendReplaced: "backendReplaced",
     RetriesExhausted: "retriesExhausted",
 } as const;
 export type RefusalReason = (typeof RefusalReason)[keyof typeof RefusalReason];
@@ -53,6 +57,8 @@
     [RefusalReason.DeadlinePassed]: 504,
     [RefusalReason.Barred]: 503,
     [RefusalReason.Unreachable]: 503,
+    [RefusalReason.BackendRefused]: 503,
+    [RefusalReason.BackendReplaced]: 503,
     [RefusalReason.RetriesExhausted]: 503,
 } satisfies Record<RefusalReason, number>;
 
@@ -71,6 +77,8 @@
     RefusalReason.Draining,
     RefusalReason.NotReady,
     RefusalReason.Unreachable,
+    RefusalReason.BackendRefused,
+    RefusalReason.BackendReplaced,
 ]);
 
 export function saysSaturated(reason: string | undefined): boolean {
@@ -105,6 +113,16 @@
     RefusalReason.OverShare,
 ]);
 
+/** Refusals of the backend server, at which the call has arrived. */
+const backendReasons: ReadonlySet<string> = new Set([
+    RefusalReason.BackendRefused,
+    RefusalReason.BackendReplaced,
+]);
+
+export function arrivedAtBackend(reason: string | undefined): boolean {
+    return reason !== undefined && backendReasons.has(reason);
+}
+
 export function isFinalRefusal(reason: string): boolean {
     return finalReasons.has(reason);
 }
--- a/packages/core/src/calls/retry.ts
+++ b/packages/core/src/calls/retry.ts
@@ -6,23 +6,42 @@
 export const retryBurst = 10;
 export const maxRetriesPerCall = 2;
 
+/** How many retries a host may make. */
+export interface RetryLimits {
+    /**
+     * Share of the calls that may be retried.
+     * @default 0.1
+     */
+    readonly ratio?: number;
+    /**
+     * Retries that may be made at once after a quiet time.
+     * @default 10
+     */
+    readonly burst?: number;
+}
+
 /** Token bucket that each call fills a little and each retry empties by one. */
 export interface RetryBudget {
+    readonly limits: Required<RetryLimits>;
     tokens: number;
 }
 
-export function createRetryBudget(): RetryBudget {
-    return { tokens: retryBurst };
+export function createRetryBudget({ ratio = retryRatio, burst = retryBurst }: RetryLimits = {}): RetryBudget {
+    return { limits: { ratio, burst }, tokens: burst };
 }
 
 export function noteCall(budget: RetryBudget): void {
-    budget.tokens = Math.min(retryBurst, budget.tokens + retryRatio);
+    budget.tokens = Math.min(Math.max(1, budget.limits.burst), budget.tokens + budget.limits.ratio);
 }
 
 /** Takes a token for a retry, if the call may still be retried. */
-export function takeRetry(budget: RetryBudget, retriesOfCall: number): boolean {
+export function takeRetry(
+    budget: RetryBudget,
+    retriesOfCall: number,
+    maxAttempts = 1 + maxRetriesPerCall,
+): boolean {
     // Sums of 0.1 are not exact; ten calls must pay for one retry.
-    if (retriesOfCall >= maxRetriesPerCall || budget.tokens < 1 - 1e-9) {
+    if (retriesOfCall + 1 >= maxAttempts || budget.tokens < 1 - 1e-9) {
         return false;
     }
     budget.tokens -= 1;
--- a/packages/core/src/configuration/resource.ts
+++ b/packages/core/src/configuration/resource.ts
@@ -5,6 +5,8 @@
     Service: "service",
     Caller: "caller",
     Partner: "partner",
+    PathRoute: "pathRoute",
+    Limits: "limits",
 } as const;
 export type ResourceKind = (typeof ResourceKind)[keyof typeof ResourceKind];
 
@@ -50,7 +52,55 @@
     readonly share: number;
 }
 
-export type Resource = Route | Service | Caller | Partner;
+/** How often a call may run. */
+export const Repetition = {
+    /** May run more than once. */
+    Safe: "safe",
+    /** Runs at most once. */
+    Unsafe: "unsafe",
+    /** Runs at most once and has a large body, which is streamed. */
+    Upload: "upload",
+} as const;
+export type Repetition = (typeof Repetition)[keyof typeof Repetition];
+
+/** A service that a route sends calls to, and its share of them. */
+export interface Destination {
+    readonly service: ResourceName;
+    readonly weight: number;
+}
+
+/** A route that is selected by the host name of a call and the longest prefix of its path. */
+export interface PathRoute {
+    readonly kind: typeof ResourceKind.PathRoute;
+    readonly name: string;
+    readonly hostName: string;
+    /** Begins and ends with a slash. */
+    readonly prefix: string;
+    readonly destinations: readonly Destination[];
+    readonly repetition: Repetition;
+    /** Backend servers to which one call may be sent. */
+    readonly maxAttempts: number;
+    readonly timeoutMs: number;
+    /** Time within which an answer has its full worth. */
+    readonly latencyObjectiveMs: number;
+    /** Rank of the calls; 0 is the most urgent. */
+    readonly priority: number;
+}
+
+/** What a caller's connection may send, and how long it may stay idle. */
+export interface Limits {
+    readonly kind: typeof ResourceKind.Limits;
+    readonly name: string;
+    readonly maxHeaderBytes: number;
+    readonly maxBodyBytes: number;
+    readonly headerTimeoutMs: number;
+    readonly idleTimeoutMs: number;
+}
+
+/** Name of the one resource of kind `limits`. */
+export const callerLimitsName = "callers";
+
+export type Resource = Route | Service | Caller | Partner | PathRoute | Limits;
 
 /** Resources that the given resource needs. */
 export function referencesOf(resource: Resource): readonly ResourceName[] {
@@ -62,6 +112,8 @@
     [ResourceKind.Service]: () => [],
     [ResourceKind.Caller]: (caller: Caller) => [caller.partner],
     [ResourceKind.Partner]: () => [],
+    [ResourceKind.PathRoute]: (route: PathRoute) => route.destinations.map(({ service }) => service),
+    [ResourceKind.Limits]: () => [],
 } satisfies Record<ResourceKind, (resource: never) => readonly ResourceName[]>;
 
 export function resourceName(kind: ResourceKind, name: string): ResourceName {
--- a/packages/core/src/configuration/resourceChecks.ts
+++ b/packages/core/src/configuration/resourceChecks.ts
@@ -1,6 +1,6 @@
 import { Left, Right, type Either } from "purify-ts/Either";
 import { problem, ProblemCode, type Problem } from "../problem.js";
-import { ResourceKind, resourceName, type Resource, type ResourceName } from "./resource.js";
+import { Repetition, ResourceKind, resourceName, type Resource, type ResourceName } from "./resource.js";
 
 type Check = (value: unknown) => boolean;
 
@@ -16,6 +16,10 @@
     (check: Check): Check =>
     value =>
         Array.isArray(value) && value.every(check);
+const isOneOf =
+    (values: readonly unknown[]): Check =>
+    value =>
+        values.includes(value);
 const isOptional =
     (check: Check): Check =>
     value =>
@@ -51,6 +55,24 @@
     },
     [ResourceKind.Caller]: { name: isText, partner: isReference(ResourceKind.Partner) },
     [ResourceKind.Partner]: { name: isText, share: isWeight },
+    [ResourceKind.PathRoute]: {
+        name: isText,
+        hostName: isText,
+        prefix: isText,
+        destinations: isListOf(isShape({ service: isReference(ResourceKind.Service), weight: isCount })),
+        repetition: isOneOf(Object.values(Repetition)),
+        maxAttempts: isCount,
+        timeoutMs: isCount,
+        latencyObjectiveMs: isCount,
+        priority: isCount,
+    },
+    [ResourceKind.Limits]: {
+        name: isText,
+        maxHeaderBytes: isCount,
+        maxBodyBytes: isCount,
+        headerTimeoutMs: isCount,
+        idleTimeoutMs: isCount,
+    },
 } satisfies Record<ResourceKind, Readonly<Record<string, Check>>>;
 
 /**
--- a/packages/core/src/distribution/fetching.ts
+++ b/packages/core/src/distribution/fetching.ts
@@ -1,10 +1,4 @@
-import {
-    fetchDeadlineMs,
-    fetchRetryMs,
-    maxFirstPartReads,
-    maxPartsInFlight,
-    storePatienceMs,
-} from "../constants.js";
+import { fetchDeadlineMs, fetchRetryMs, maxFirstPartReads, maxPartsInFlight } from "../constants.js";
 import { MessageKind } from "../messages/peerMessage.js";
 import { neededNames } from "./needs.js";
 import {
@@ -87,7 +81,7 @@
  */
 function waitForPeers(state: Distribution, context: Context, before: Fetch | undefined, fetch: Fetch): Fetch {
     const isFirst = before === undefined && state.held === undefined;
-    const waitMs = Math.floor(context.random() * storePatienceMs);
+    const waitMs = Math.floor(context.random() * state.patienceMs);
     return isFirst && fetch.source === SourceKind.Store && waitMs > 0
         ? { source: SourceKind.Waiting, sentAt: context.now + waitMs, tried: fetch.tried }
         : fetch;
--- a/packages/core/src/distribution/state.ts
+++ b/packages/core/src/distribution/state.ts
@@ -1,6 +1,7 @@
 import type { ConfigurationState, HeldConfiguration } from "../configuration/heldConfiguration.js";
 import type { Interest } from "../configuration/interest.js";
 import type { Manifest } from "../configuration/manifest.js";
+import { storePatienceMs } from "../constants.js";
 import type { IncomingMessage, OutgoingMessage, UpdateStep } from "../messages/peerMessage.js";
 import type { Event } from "../telemetry/event.js";
 import { noKeptSteps, type KeptSteps } from "./keptSteps.js";
@@ -64,6 +65,8 @@
 
 export interface Distribution {
     readonly spread: Spread;
+    /** Longest wait of a host without a version before it reads the object store, in milliseconds. */
+    readonly patienceMs: number;
     readonly region: string;
     readonly interest: Interest;
     /** Lowest version that may be put in force. */
@@ -91,6 +94,8 @@
     spread: Spread;
     region: string;
     interest: Interest;
+    /** @default storePatienceMs */
+    patienceMs?: number;
     /** @default undefined */
     held?: HeldConfiguration;
 }
@@ -98,6 +103,7 @@
 export function createDistribution(options: DistributionOptions): Distribution {
     return {
         spread: options.spread,
+        patienceMs: options.patienceMs ?? storePatienceMs,
         region: options.region,
         interest: options.interest,
         floor: 0,
--- a/packages/core/src/generation/generateConfiguration.ts
+++ b/packages/core/src/generation/generateConfiguration.ts
@@ -31,15 +31,38 @@
 ): GeneratedConfiguration {
     const resources = generateResources(answers);
     const neededBy = findNeeds(answers, resources);
+    return packResources(resources, { version: options.version, neededBy: name => neededBy.get(name) ?? [] });
+}
+
+export interface PackingOptions extends GenerationOptions {
+    /**
+     * Services whose hosts need a resource.
+     * @default every host that accepts outside callers
+     */
+    neededBy?: (name: ResourceName) => readonly string[];
+}
+
+/**
+ * Packs the resources of one version into a manifest and its parts. Equal resources give equal bytes.
+ *
+ * @example
+ * ```ts
+ * const { manifest, parts } = packResources(new Map([["service/stock", stock]]), { version: 4 });
+ * ```
+ */
+export function packResources(
+    resources: ReadonlyMap<ResourceName, Resource>,
+    { version, neededBy = () => [everyEntry] }: PackingOptions,
+): GeneratedConfiguration {
     const parts = new Map<string, Uint8Array>();
     const entries: Record<ResourceName, ManifestEntry> = {};
     for (const [name, resource] of resources) {
         const bytes = canonicalBytes(resource);
         const hash = contentHash(bytes);
         parts.set(hash, bytes);
-        entries[name] = { hash, references: referencesOf(resource), neededBy: neededBy.get(name) ?? [] };
+        entries[name] = { hash, references: referencesOf(resource), neededBy: neededBy(name) };
     }
-    return { manifest: { version: options.version, entries }, parts };
+    return { manifest: { version, entries }, parts };
 }
 
 function generateResources(answers: ResolvedAnswers): Map<ResourceName, Resource> {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -54,6 +54,7 @@
 export * from "./calls/retry.js";
 export * from "./calls/fateTable.js";
 export * from "./routing/match.js";
+export * from "./routing/pathMatch.js";
 export * from "./routing/targets.js";
 export * from "./routing/observation.js";
 export * from "./routing/selection.js";
--- a/packages/core/src/platform/operation.ts
+++ b/packages/core/src/platform/operation.ts
@@ -20,6 +20,8 @@
           readonly operation: typeof PlatformOperation.ReadRow;
           readonly key: string;
           readonly knownTag?: string;
+          /** Time for which the answer may be held until the row differs from the known tag, in milliseconds. */
+          readonly waitMs?: number;
       }
     | {
           readonly operation: typeof PlatformOperation.WriteRow;
--- a/packages/core/src/routing/match.ts
+++ b/packages/core/src/routing/match.ts
@@ -1,4 +1,5 @@
 import { Left, Right, type Either } from "purify-ts/Either";
+import { maxRetriesPerCall } from "../calls/retry.js";
 import { refusal, RefusalReason, type Refusal } from "../calls/refusal.js";
 import {
     ResourceKind,
@@ -31,6 +32,12 @@
     readonly caller: string;
     readonly partner: string;
     readonly share: number;
+    /** Backend servers to which the call may be sent. */
+    readonly maxAttempts: number;
+    /** Time within which an answer has its full worth, in milliseconds. */
+    readonly latencyObjectiveMs: number;
+    /** Rank of the call; 0 is the most urgent. */
+    readonly priority: number;
 }
 
 export interface CallToMatch {
@@ -62,5 +69,14 @@
     );
     return operation === undefined
         ? Left(refusal(RefusalReason.NoRoute))
-        : Right({ service, operation, caller: call.caller, partner: partner.name, share: partner.share });
+        : Right({
+              service,
+              operation,
+              caller: call.caller,
+              partner: partner.name,
+              share: partner.share,
+              maxAttempts: 1 + maxRetriesPerCall,
+              latencyObjectiveMs: operation.deadlineMs,
+              priority: 0,
+          });
 }
--- a/packages/daemon/features/steps/callFixture.ts
+++ b/packages/daemon/features/steps/callFixture.ts
@@ -11,6 +11,8 @@
     type IncomingMessage,
     type Resource,
     type Span,
+    retryBurst,
+    retryRatio,
 } from "@tanagertray/core";
 import { createCalls, type Calls } from "@tanagertray/daemon/adapters/calls/createCalls";
 import { createClock } from "@tanagertray/daemon/adapters/clock";
@@ -149,10 +151,12 @@
             region: "r1",
             listen: { calls: loopback, peer: loopback, admin: loopback },
             advertise: { peer: loopback },
-            platform: { url: "http://127.0.0.1:9" },
+            platform: { url: "http://127.0.0.1:9", watchMs: 0, patienceMs: 0 },
             peers: [],
             keys: { operator: [], backendServer: [], peer: ["new-key", "old-key"] },
             spread: "eager",
+            retries: { ratio: retryRatio, burst: retryBurst },
+            shutdown: { lingerMs: 0, graceMs: undefined },
             outsideCallers: true,
             log: { level: "info" },
             traces: { exporter: "none", url: undefined },
--- a/packages/daemon/features/steps/callRequests.ts
+++ b/packages/daemon/features/steps/callRequests.ts
@@ -130,6 +130,7 @@
             method: "GET",
             path: "/orders/x",
             deadlineMs: "1000",
+            route: undefined,
         });
         const sign = (key: string, now = Date.now()) => signHop(claims(randomUUID()), key, now);
         const send = (hop: string | undefined, change: Record<string, string> = {}, path?: string) =>
--- a/packages/daemon/features/steps/platform.ts
+++ b/packages/daemon/features/steps/platform.ts
@@ -1,7 +1,8 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { headKey, PlatformOperation } from "@tanagertray/core";
 import { createBoard, resolveSettings, type Board, type Closeable } from "@tanagertray/daemon";
-import { createPlatformClient } from "@tanagertray/daemon/adapters/platform";
+import { createHttpTransport } from "@tanagertray/daemon/adapters/platform/httpTransport";
+import { createPlatformClient } from "@tanagertray/daemon/adapters/platform/platformClient";
 import { startPlatform, type Platform } from "@tanagertray/standin";
 import assert from "node:assert/strict";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -41,7 +42,7 @@
     );
     const board = this.headBoard;
     const reads = board.claimFeed("headReads");
-    this.headClient = createPlatformClient(board);
+    this.headClient = createPlatformClient(board, createHttpTransport);
     let replies = 0;
     board.follow("platformReplies", () => (replies += 1));
     this.readHead = async () => {
--- a/packages/daemon/src/adapters/admin/admin.ts
+++ b/packages/daemon/src/adapters/admin/admin.ts
@@ -14,8 +14,19 @@
 import { statusEndpoints } from "./statusEndpoints.js";
 import { mayAccess } from "./tokens.js";
 
+export interface AdminOptions {
+    /**
+     * Whether backend servers announce themselves here.
+     * @default true
+     */
+    readonly takesAnnouncements?: boolean;
+}
+
 /** Serves operators, backend servers and monitoring. */
-export async function createAdmin(board: Board): Promise<Closeable> {
+export async function createAdmin(
+    board: Board,
+    { takesAnnouncements = true }: AdminOptions = {},
+): Promise<Closeable> {
     const { keys, listen } = board.read("settings");
     const events = board.claimFeed("operatorEvents");
     const commands = createCommandRunner(board, event => events.append(event));
@@ -24,7 +35,7 @@
         ...statusEndpoints(board),
         ...metricsEndpoints({ board, counters }),
         ...revisionEndpoints(commands),
-        ...backendServerEndpoints(board),
+        ...(takesAnnouncements ? backendServerEndpoints(board) : {}),
     };
     let inProgress = 0;
 
--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -19,9 +19,10 @@
 } from "@tanagertray/core";
 import { bodySilenceMs, hopConnections, hopSilenceMs } from "./constants.js";
 import type { CallContext } from "./context.js";
+import { UnknownCause } from "./dialect.js";
 import { exchange, ExchangeEnd, type ExchangeResult, type ResponseSink } from "./exchange.js";
-import { lostReason } from "./handleHop.js";
 import { headerValue } from "./headers.js";
+import { routeHeader } from "./hopRoute.js";
 import { signHop } from "./hopToken.js";
 import { callerLeft, type IncomingCall } from "./incoming.js";
 import { runLocally } from "./localCall.js";
@@ -88,6 +89,7 @@
     const { call, body } = attempt;
     const outcome = await runLocally(context, {
         ...attempt,
+        givenCallId: call.callId,
         matched: call.matched,
         method: call.method,
         path: call.backendPath,
@@ -120,7 +122,8 @@
         }
         const reason = headerValue(raw, "tanagertray-reason");
         if (reason !== undefined) {
-            refused = { reason, retryAfterMs: Number(headerValue(raw, "retry-after") ?? 1) * 1_000 };
+            const retryAfterMs = Number(headerValue(raw, "tanagertray-retry-after-ms") ?? Number.NaN);
+            refused = { reason, retryAfterMs: retryAfterMs >= 0 ? retryAfterMs : defaultRetryAfterMs };
             return discardingSink;
         }
         noteHead();
@@ -131,6 +134,7 @@
         dispatcher: context.pools.get(selection.target.address, hopConnections),
         method: call.method,
         path: call.url,
+        resets: () => context.pools.resets(selection.target.address),
         headers: hopHeaders(context, attempt),
         body: body.chunks,
         signal: attempt.control.signal,
@@ -144,7 +148,7 @@
         context.pools.retire(selection.target.address);
         context.telemetry.event("call.poolReplaced", "warn", { address: selection.target.address });
     }
-    if (refused?.reason === lostReason) {
+    if (refused?.reason === UnknownCause.Lost) {
         return { failure: AttemptFailure.Lost, fateKnown: true };
     }
     if (refused !== undefined) {
@@ -179,13 +183,15 @@
         method: call.method,
         path: call.url,
         deadlineMs,
+        route: call.route,
     };
-    const key = context.board.read("settings").keys.peer[0] ?? "";
+    const key = context.board.read("settings").keys.peer?.[0];
     return [
         ...call.head.headers,
         ...["tanagertray-caller", caller, "tanagertray-partner", partner],
         ...["tanagertray-call-id", callId, "tanagertray-deadline-ms", deadlineMs],
         ...["tanagertray-hop", signHop(claims, key, context.now())],
         ...["traceparent", attempt.traceparent],
+        ...(call.route === undefined ? [] : [routeHeader, call.route]),
     ];
 }
--- a/packages/daemon/src/adapters/calls/context.ts
+++ b/packages/daemon/src/adapters/calls/context.ts
@@ -1,9 +1,10 @@
-import type { RetryBudget } from "@tanagertray/core";
 import type { Board } from "../../board.js";
 import type { Admissions } from "./admissions.js";
+import type { CallDialect } from "./dialect.js";
 import type { Fates } from "./fates.js";
 import type { Observations } from "./observations.js";
 import type { Pools } from "./pools.js";
+import type { RetryBudgets } from "./retryBudgets.js";
 import type { Telemetry } from "./telemetry.js";
 
 /** What the parts of the call adapter share. */
@@ -16,7 +17,11 @@
     readonly fates: Fates;
     readonly observations: Observations;
     readonly telemetry: Telemetry;
-    readonly retryBudget: RetryBudget;
+    readonly dialect: CallDialect;
+    /** For attempts after one that may have reached a backend server. */
+    readonly retryBudgets: RetryBudgets;
+    /** For attempts after one that a host refused before its backend server. */
+    readonly redirectBudgets: RetryBudgets;
     /** Cancels of all calls in progress. */
     readonly cancels: Set<AbortController>;
 }
--- a/packages/daemon/src/adapters/calls/createCalls.ts
+++ b/packages/daemon/src/adapters/calls/createCalls.ts
@@ -1,23 +1,27 @@
-import { createRetryBudget } from "@tanagertray/core";
 import type { IncomingMessage, RequestListener, ServerResponse } from "node:http";
 import type { Board } from "../../board.js";
 import type { Closeable } from "../../closeable.js";
-import { drainLimitMs } from "../../draining.js";
-import { closeListener, keepAliveTimeoutMs, openListener } from "../httpListener.js";
+import { drainLimitMs, idleGraceMs } from "../../draining.js";
+import { steadyNow } from "../../steadyClock.js";
+import { closeListener, openListener } from "../httpListener.js";
 import { createAdmissions } from "./admissions.js";
+import { redirectLimits } from "./constants.js";
 import type { CallContext } from "./context.js";
+import type { CallDialect } from "./dialect.js";
 import { createFates } from "./fates.js";
 import { handleEntry } from "./handleEntry.js";
 import { handleHop } from "./handleHop.js";
 import { createObservations } from "./observations.js";
+import { ownDialect } from "./ownDialect.js";
 import { createPools } from "./pools.js";
+import { createRetryBudgets } from "./retryBudgets.js";
 import { resetConnection } from "./responses.js";
 import { createTelemetry } from "./telemetry.js";
 
 export interface CallsOptions {
     /**
      * Milliseconds since the epoch.
-     * @default Date.now
+     * @default steadyNow
      */
     now?: () => number;
     /**
@@ -25,6 +29,11 @@
      * @default Math.random
      */
     random?: () => number;
+    /**
+     * How callers and backend servers speak.
+     * @default ownDialect
+     */
+    dialect?: CallDialect;
 }
 
 export interface Calls extends Closeable {
@@ -42,7 +51,7 @@
 
 /** Opens the callers' listener and carries calls to the backend servers of this and other hosts. */
 export async function createCalls(board: Board, options: CallsOptions = {}): Promise<Calls> {
-    const { now = Date.now, random = Math.random } = options;
+    const { now = steadyNow, random = Math.random, dialect = ownDialect } = options;
     const context: CallContext = {
         board,
         now,
@@ -52,7 +61,9 @@
         fates: createFates(board, now),
         observations: createObservations(board),
         telemetry: createTelemetry(board, now),
-        retryBudget: createRetryBudget(),
+        dialect,
+        retryBudgets: createRetryBudgets(board.read("settings").retries),
+        redirectBudgets: createRetryBudgets(redirectLimits),
         cancels: new Set(),
     };
     const inFlight = new Set<Promise<void>>();
@@ -89,11 +100,14 @@
         handleHop: track(handleHop),
         port: (server.address() as { port: number }).port,
         async close() {
-            const timer = setTimeout(() => {
-                context.cancels.forEach(cancel => cancel.abort(stopped));
-                server.closeAllConnections();
-            }, drainLimitMs(board));
-            const closed = closeListener(server, { idleGraceMs: keepAliveTimeoutMs });
+            const timer = setTimeout(
+                () => {
+                    context.cancels.forEach(cancel => cancel.abort(stopped));
+                    server.closeAllConnections();
+                },
+                drainLimitMs(board) - board.read("settings").shutdown.lingerMs,
+            );
+            const closed = closeListener(server, { idleGraceMs: idleGraceMs(board) });
             while (inFlight.size > 0) {
                 await Promise.all(inFlight);
             }
--- a/packages/daemon/src/adapters/calls/exchange.ts
+++ b/packages/daemon/src/adapters/calls/exchange.ts
@@ -32,7 +32,10 @@
     /** Called just before the first byte is written; false forbids it. */
     readonly mayWrite: () => boolean;
     readonly onInformation: (status: number) => void;
-    readonly onHead: (status: number, rawHeaders: string[]) => ResponseSink;
+    /** Without a sink the response is none of this call's, and its connection is discarded. */
+    readonly onHead: (status: number, rawHeaders: string[]) => ResponseSink | undefined;
+    /** Number of connections to the address that were reset so far. */
+    readonly resets: () => number;
 }
 
 export interface ExchangeResult {
@@ -42,6 +45,8 @@
     readonly error?: Error;
 }
 
+const foreign = new Error("the response belongs to another call or is malformed");
+const cutShort = new Error("the connection was reset before the end of the response");
 const silence = new Error("the connection made no progress within its limit");
 
 /** State of one exchange. */
@@ -52,6 +57,8 @@
     controller: Dispatcher.DispatchController | undefined;
     /** Set when a response head has been passed on. */
     sink: ResponseSink | undefined;
+    /** Resets before the head, when only the end of the connection ends the response. */
+    resetsBefore: number | undefined;
     settled: boolean;
     timer: NodeJS.Timeout | undefined;
     cancel: () => void;
@@ -65,6 +72,7 @@
             resolve,
             controller: undefined,
             sink: undefined,
+            resetsBefore: undefined,
             settled: false,
             timer: undefined,
             cancel: () => fail(progress, options.signal.reason as Error),
@@ -136,7 +144,8 @@
         },
         onResponseStart(started, status) {
             if (!progress.settled) {
-                takeHead(progress, status, (started.rawHeaders ?? []) as (Buffer | string)[]);
+                const raw = (started.rawHeaders ?? []) as (Buffer | string)[];
+                takeHead(progress, status, raw);
             }
         },
         onResponseData(started, chunk) {
@@ -145,10 +154,17 @@
             }
         },
         onResponseEnd() {
-            if (!progress.settled) {
-                progress.sink?.end();
-                settle(progress, ExchangeEnd.Completed);
+            if (progress.settled) {
+                return;
             }
+            // The client library takes a reset for the end of a response without a length.
+            const { resetsBefore } = progress;
+            if (resetsBefore !== undefined && options.resets() !== resetsBefore) {
+                fail(progress, cutShort);
+                return;
+            }
+            progress.sink?.end();
+            settle(progress, ExchangeEnd.Completed);
         },
         onResponseError: (_started, error) => fail(progress, error),
     };
@@ -162,10 +178,23 @@
         return;
     }
     const raw = rawHeaders.map(part => (typeof part === "string" ? part : part.toString("latin1")));
-    progress.sink = options.onHead(status, raw);
+    const sink = options.onHead(status, raw);
+    if (sink === undefined) {
+        fail(progress, foreign);
+        return;
+    }
+    progress.sink = sink;
+    progress.resetsBefore = isFramed(raw) ? undefined : options.resets();
     watch(progress, options.bodySilenceMs);
 }
 
+/** Whether the head says where the body ends. */
+function isFramed(raw: readonly string[]): boolean {
+    return raw.some((name, at) => at % 2 === 0 && framingHeaders.has(name.toLowerCase()));
+}
+
+const framingHeaders: ReadonlySet<string> = new Set(["content-length", "transfer-encoding"]);
+
 function passData(
     progress: Progress,
     sink: ResponseSink,
--- a/packages/daemon/src/adapters/calls/handleEntry.ts
+++ b/packages/daemon/src/adapters/calls/handleEntry.ts
@@ -1,15 +1,14 @@
 import {
+    arrivedAtBackend,
     AttemptFailure,
     CallOutcome,
     chooseTarget,
     isFinalRefusal,
     nextStepAfter,
     NextStep,
-    noteCall,
     refusal,
     RefusalReason,
     remainingMs,
-    takeRetry,
     Tier,
     type Refusal,
     type Selection,
@@ -17,19 +16,22 @@
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { makeAttempt, type AttemptOutcome } from "./attempt.js";
-import { fateWaitMs } from "./constants.js";
+import { fateWaitMs, maxRedirects } from "./constants.js";
 import type { CallContext } from "./context.js";
+import { UnknownCause } from "./dialect.js";
 import { headerValue, outcomeHeader, responseHeaders } from "./headers.js";
 import {
     callerLeft,
     checkAdmitting,
     deadlineOf,
+    deadlinePassed,
     openCancel,
-    readCall,
+    readEntryCall,
     type IncomingCall,
 } from "./incoming.js";
+import { heldVersion } from "../../controllers/advertisement.js";
 import { createRequestBody, type RequestBody } from "./requestBody.js";
-import { hasArrived, resetConnection, sayNotRun, sayUnknown, sinkTo } from "./responses.js";
+import { isRequestComplete, resetConnection, sendOwn, sinkTo } from "./responses.js";
 
 /** Time to ask for a call's fate once the deadline has passed, in milliseconds. */
 const lateFateWaitMs = 200;
@@ -47,7 +49,10 @@
     readonly response: ServerResponse;
     readonly traceparent: string;
     readonly excluded: Set<string>;
+    /** Attempts after the first. */
     retries: number;
+    /** Attempts that may have reached a backend server. */
+    arrivals: number;
     /** The last attempt failed by its connection, not by a refusal. */
     connectionFailed: boolean;
     /** An earlier attempt may have run, so that no later refusal means that the call did not run. */
@@ -61,12 +66,15 @@
     request: IncomingMessage,
     response: ServerResponse,
 ): Promise<void> {
-    const { board, telemetry } = context;
-    const checked = checkAdmitting(context).chain(() => readCall(board, request));
+    const { telemetry, dialect } = context;
+    const checked = checkAdmitting(context).chain(() => readEntryCall(context, request));
     if (checked.isLeft()) {
         const refused = checked.extract() as Refusal;
-        telemetry.event("call.refused", "info", { reason: refused.reason });
-        return sayNotRun(response, refused, { close: refused.reason === RefusalReason.Draining });
+        const callId = request.headers[dialect.callIdHeader];
+        telemetry.event("call.refused", "info", { callId: String(callId ?? ""), reason: refused.reason });
+        return sendOwn(response, dialect.notRun(refused), {
+            close: refused.reason === RefusalReason.Draining,
+        });
     }
     const call = checked.unsafeCoerce();
     const { operation, service, partner } = call.matched;
@@ -87,16 +95,22 @@
         traceparent: span.traceparent,
         excluded: new Set(),
         retries: 0,
+        arrivals: 0,
         connectionFailed: false,
         mayHaveRun: false,
         lastRefusal: undefined,
     };
-    noteCall(context.retryBudget);
+    context.retryBudgets.noteCall(service.name);
+    context.redirectBudgets.noteCall(service.name);
     if (call.head.hasBody && call.head.declaredBytes === undefined) {
         await entry.body.countSmall(cancel.control.signal);
     }
     const result = await carry(context, entry);
     cancel.close();
+    if (!request.complete) {
+        // The rest of a body that nobody needs must not stand in front of the connection's next request.
+        request.resume();
+    }
     const { retries } = entry;
     span.end(result !== CallResult.Completed, {
         service: service.name,
@@ -104,8 +118,17 @@
         result,
         retries,
     });
-    const fields = { service: service.name, partner, result, retries, reason: entry.lastRefusal?.reason };
-    telemetry.event("call.finished", result === CallResult.Completed ? "debug" : "info", fields);
+    telemetry.event("call.finished", result === CallResult.Completed ? "debug" : "info", {
+        callId: entry.callId,
+        service: service.name,
+        route: operation.name,
+        partner,
+        result,
+        retries,
+        reason: entry.lastRefusal?.reason,
+        leftMs: remainingMs(deadline, context.now()),
+        version: heldVersion(context.board),
+    });
 }
 
 const CallResult = {
@@ -120,7 +143,7 @@
     for (;;) {
         const selection = select(context, entry);
         if (selection === undefined || entry.control.signal.aborted || entry.body.tooLarge()) {
-            return finish(entry);
+            return finish(context, entry);
         }
         entry.excluded.add(selection.target.host);
         const attemptId = randomUUID();
@@ -137,13 +160,31 @@
             resetConnection(entry.response);
             return CallResult.Reset;
         }
-        if (step !== NextStep.Retry || !takeRetry(context.retryBudget, entry.retries)) {
-            return finish(entry);
+        if (step !== NextStep.Retry || !takeAnother(context, entry, outcome)) {
+            return finish(context, entry);
         }
         entry.retries += 1;
     }
 }
 
+/** Takes the right to another attempt. One that reached no backend server costs the servers nothing. */
+function takeAnother(context: CallContext, entry: EntryCall, outcome: AttemptOutcome): boolean {
+    const { service, maxAttempts } = entry.call.matched;
+    if (hasArrived(outcome)) {
+        entry.arrivals += 1;
+        return context.retryBudgets.take(service.name, { retries: entry.arrivals - 1, maxAttempts });
+    }
+    const redirects = entry.retries - entry.arrivals;
+    return context.redirectBudgets.take(service.name, { retries: redirects, maxAttempts: maxRedirects });
+}
+
+/** Whether the attempt may have reached a backend server. */
+function hasArrived({ failure, refusal }: AttemptOutcome): boolean {
+    return failure === AttemptFailure.Refused
+        ? arrivedAtBackend(refusal?.reason)
+        : failure !== AttemptFailure.NeverWritten;
+}
+
 function select(context: CallContext, entry: EntryCall): Selection | undefined {
     const { service } = entry.call.matched;
     const targets = context.board.read("targets").get(service.name);
@@ -182,7 +223,7 @@
         traceparent,
         control,
         onHead(status, raw) {
-            const closes = context.board.read("shutdown").requested && hasArrived(response);
+            const closes = context.board.read("shutdown").requested && isRequestComplete(response);
             const closing = closes ? ["connection", "close"] : [];
             // "Not run" by the backend server holds for this attempt only, not for an earlier lost one.
             const kept = entry.mayHaveRun ? noHeaders : keptHeaders;
@@ -231,9 +272,11 @@
 }
 
 /** Answers a call that no backend server answered. */
-function finish(entry: EntryCall): CallResult {
+function finish({ dialect }: CallContext, entry: EntryCall): CallResult {
     if (entry.mayHaveRun) {
-        sayUnknown(entry.response, "lost");
+        const isLate = entry.control.signal.reason === deadlinePassed;
+        const cause = isLate ? UnknownCause.DeadlinePassed : UnknownCause.Lost;
+        sendOwn(entry.response, dialect.unknown(cause));
         return CallResult.Unknown;
     }
     const refused = entry.body.tooLarge()
@@ -242,6 +285,6 @@
           ? refusal(RefusalReason.DeadlinePassed)
           : (entry.lastRefusal ?? refusal(RefusalReason.NoTarget));
     entry.lastRefusal = refused;
-    sayNotRun(entry.response, refused, { close: false });
+    sendOwn(entry.response, dialect.notRun(refused));
     return CallResult.NotRun;
 }
--- a/packages/daemon/src/adapters/calls/handleHop.ts
+++ b/packages/daemon/src/adapters/calls/handleHop.ts
@@ -3,13 +3,15 @@
 import { Left, Right, type Either } from "purify-ts/Either";
 import { progressMs } from "./constants.js";
 import type { CallContext } from "./context.js";
+import { UnknownCause } from "./dialect.js";
 import { ExchangeEnd } from "./exchange.js";
 import { responseHeaders } from "./headers.js";
 import { verifyHop } from "./hopToken.js";
-import { checkAdmitting, deadlineOf, openCancel, readCall, type IncomingCall } from "./incoming.js";
+import { checkAdmitting, deadlineOf, openCancel, readHopCall, type IncomingCall } from "./incoming.js";
 import { runLocally } from "./localCall.js";
+import { answerNotRun, ownDialect } from "./ownDialect.js";
 import { createRequestBody } from "./requestBody.js";
-import { hasArrived, resetConnection, sayNotRun, sayUnknown, sinkTo } from "./responses.js";
+import { isRequestComplete, resetConnection, sendOwn, sinkTo } from "./responses.js";
 
 interface VerifiedHop {
     readonly call: IncomingCall;
@@ -17,8 +19,6 @@
     readonly callId: string;
 }
 
-/** Reason of an unknown outcome, towards the entry daemon. */
-export const lostReason = "lost";
 const keptHeaders: ReadonlySet<string> = new Set(["tanagertray-outcome"]);
 
 /** Carries a call that came from another daemon to a backend server of this host. */
@@ -27,14 +27,15 @@
     request: IncomingMessage,
     response: ServerResponse,
 ): Promise<void> {
-    const { board } = context;
     const checked = checkAdmitting(context)
-        .chain(() => readCall(board, request))
+        .chain(() => readHopCall(context, request))
         .chain(call => verify(context, call));
     if (checked.isLeft()) {
         const refused = checked.extract() as Refusal;
         context.telemetry.event("call.hopRefused", "info", { reason: refused.reason });
-        return sayNotRun(response, refused, { close: refused.reason === RefusalReason.Draining });
+        return sendOwn(response, answerNotRun(refused), {
+            close: refused.reason === RefusalReason.Draining,
+        });
     }
     await carry(context, checked.unsafeCoerce(), request, response);
 }
@@ -56,6 +57,7 @@
         matched,
         attemptId,
         callId,
+        givenCallId: callId,
         deadline,
         method: call.method,
         path: call.backendPath,
@@ -72,7 +74,7 @@
         onHead(status, raw) {
             clearInterval(progress);
             const load = String(Math.round(context.admissions.load(matched.service) * 1_000) / 1_000);
-            const closes = context.board.read("shutdown").requested && hasArrived(response);
+            const closes = context.board.read("shutdown").requested && isRequestComplete(response);
             const closing = closes ? ["connection", "close"] : [];
             response.writeHead(status, [
                 ...responseHeaders(raw, keptHeaders),
@@ -85,8 +87,11 @@
     clearInterval(progress);
     body.close();
     cancel.close();
+    if (!request.complete) {
+        request.resume();
+    }
     outcome.caseOf({
-        Left: refused => sayNotRun(response, refused, { close: false }),
+        Left: refused => sendOwn(response, answerNotRun(refused)),
         Right: ({ end }) => answerByEnd[end](response),
     });
     const reason = outcome.caseOf<string>({ Left: refused => refused.reason, Right: ({ end }) => end });
@@ -101,8 +106,8 @@
 const answerByEnd = {
     [ExchangeEnd.Completed]: () => undefined,
     [ExchangeEnd.NeverWritten]: response =>
-        sayNotRun(response, refusal(RefusalReason.Unreachable), { close: false }),
-    [ExchangeEnd.Lost]: response => sayUnknown(response, lostReason),
+        sendOwn(response, answerNotRun(refusal(RefusalReason.Unreachable))),
+    [ExchangeEnd.Lost]: response => sendOwn(response, ownDialect.unknown(UnknownCause.Lost)),
     [ExchangeEnd.Truncated]: resetConnection,
 } satisfies Record<ExchangeEnd, (response: ServerResponse) => void>;
 
@@ -116,6 +121,7 @@
         method: call.method,
         path: call.url,
         deadlineMs: own("deadline-ms"),
+        route: call.route,
     };
     const { keys } = context.board.read("settings");
     const attemptId = verifyHop(own("hop"), claims, keys.peer, context.now());
--- a/packages/daemon/src/adapters/calls/headers.ts
+++ b/packages/daemon/src/adapters/calls/headers.ts
@@ -1,6 +1,7 @@
 import { refusal, RefusalReason, type Refusal } from "@tanagertray/core";
 import { Left, Right, type Either } from "purify-ts/Either";
 import { maxHeaders } from "./constants.js";
+import type { CallDialect } from "./dialect.js";
 
 /** RFC 9110, section 7.6.1, and `expect`, which each hop answers for itself. */
 const hopByHop: ReadonlySet<string> = new Set([
@@ -25,14 +26,19 @@
 export interface RequestHead {
     /** Names and values to pass on, alternating. */
     readonly headers: readonly string[];
-    /** The daemon's own headers, by name. */
+    /** Headers that the daemon itself reads, by name. */
     readonly own: ReadonlyMap<string, string>;
+    /** Name in the `host` header, in lower case and without the port. */
+    readonly hostName: string;
     readonly hasBody: boolean;
     readonly declaredBytes: number | undefined;
 }
 
+/** What a dialect says of the headers of a request. */
+export type HeaderRules = Pick<CallDialect, "callIdHeader" | "deadlineHeader" | "isReserved" | "passesHost">;
+
 /** Checks the headers of a request (RFC 9112, section 6) and separates what may be passed on. */
-export function readRequestHead(raw: readonly string[]): Either<Refusal, RequestHead> {
+export function readRequestHead(raw: readonly string[], rules: HeaderRules): Either<Refusal, RequestHead> {
     const entries = pairs(raw);
     const count = new Map<string, number>();
     entries.forEach(([name]) => count.set(name, (count.get(name) ?? 0) + 1));
@@ -49,10 +55,19 @@
     ) {
         return Left(refusal(RefusalReason.Malformed));
     }
-    const passed = entries.filter(([name]) => !isDropped(name, nominated) && name !== "host");
+    const passed = entries.filter(
+        ([name]) =>
+            !isDropped(name, nominated) && (rules.passesHost || name !== "host") && !rules.isReserved(name),
+    );
+    const isOwn = (name: string) =>
+        name.startsWith(ownPrefix) ||
+        name === "traceparent" ||
+        name === rules.callIdHeader ||
+        name === rules.deadlineHeader;
     return Right({
         headers: passed.flat(),
-        own: new Map(entries.filter(([name]) => name.startsWith(ownPrefix) || name === "traceparent")),
+        own: new Map(entries.filter(([name]) => isOwn(name))),
+        hostName: (byName.get("host") ?? "").replace(/:\d+$/, "").toLowerCase(),
         hasBody: encoding !== undefined || Number(length ?? 0) > 0,
         declaredBytes: length === undefined ? undefined : Number(length),
     });
--- a/packages/daemon/src/adapters/calls/hopToken.ts
+++ b/packages/daemon/src/adapters/calls/hopToken.ts
@@ -1,4 +1,5 @@
 import { createHmac, timingSafeEqual } from "node:crypto";
+import type { PeerKeys } from "../peers/handshake.js";
 import { hopValidityMs } from "./constants.js";
 
 /** What the HMAC of a hop covers, in this order. */
@@ -12,27 +13,39 @@
     readonly method: string;
     readonly path: string;
     readonly deadlineMs: string;
+    /** Value of the route header, when there is one. */
+    readonly route: string | undefined;
 }
 
-/** Builds the `tanagertray-hop` header: attempt id, timestamp and HMAC-SHA-256. */
-export function signHop(claims: HopClaims, key: string, now: number): string {
-    return `${claims.attemptId};${now};${macOf(claims, key, String(now)).toString("hex")}`;
+/** Builds the `tanagertray-hop` header: attempt id, timestamp and, with a key, HMAC-SHA-256. */
+export function signHop(claims: HopClaims, key: string | undefined, now: number): string {
+    const mac = key === undefined ? "" : macOf(claims, key, String(now)).toString("hex");
+    return `${claims.attemptId};${now};${mac}`;
 }
 
-const tokenPattern = /^([0-9a-f-]{36});(\d{1,16});([0-9a-f]{64})$/;
+const tokenPattern = /^([0-9a-f-]{36});(\d{1,16});([0-9a-f]{64})?$/;
 
-/** Returns the attempt id of a valid header. Every key is tried, so the time does not tell which one fits. */
+/**
+ * Returns the attempt id of a valid header. Every key is tried, so the time does not tell which one fits. In a
+ * trusted network there are no keys, and the header only has to be well formed.
+ */
 export function verifyHop(
     header: string,
     claims: Omit<HopClaims, "attemptId">,
-    keys: readonly string[],
+    keys: PeerKeys,
     now: number,
 ): string | undefined {
     const [, attemptId = "", timestamp = "", mac = ""] = tokenPattern.exec(header) ?? [];
     if (attemptId === "" || Math.abs(now - Number(timestamp)) > hopValidityMs) {
         return undefined;
     }
+    if (keys === undefined) {
+        return attemptId;
+    }
     const given = Buffer.from(mac, "hex");
+    if (given.length === 0) {
+        return undefined;
+    }
     const fitting = keys.filter(key =>
         timingSafeEqual(macOf({ ...claims, attemptId }, key, timestamp), given),
     );
@@ -50,6 +63,7 @@
         claims.path,
         claims.deadlineMs,
         timestamp,
+        ...(claims.route === undefined ? [] : [claims.route]),
     ];
     return createHmac("sha256", key).update(JSON.stringify(fields)).digest();
 }
--- a/packages/daemon/src/adapters/calls/incoming.ts
+++ b/packages/daemon/src/adapters/calls/incoming.ts
@@ -1,7 +1,6 @@
 import {
     deadlineAt,
     longestPauseMs,
-    matchCall,
     parseDeadlineMs,
     ReadinessState,
     refusal,
@@ -14,7 +13,10 @@
 import type { Board } from "../../board.js";
 import { maxCallsInProgress, stallMs } from "./constants.js";
 import type { CallContext } from "./context.js";
+import type { DialectMatch } from "./dialect.js";
 import { readRequestHead, type RequestHead } from "./headers.js";
+import { decodeRoute, encodeRoute, routeHeader } from "./hopRoute.js";
+import { matchOwn, ownDialect } from "./ownDialect.js";
 
 /** A request whose head was checked and matched with the configuration. */
 export interface IncomingCall {
@@ -27,6 +29,8 @@
     readonly matched: MatchedCall;
     readonly callId: string | undefined;
     readonly askedDeadlineMs: number | undefined;
+    /** Value of the route header, when the host of the backend server has to be told the route. */
+    readonly route: string | undefined;
 }
 
 /** Instant at which a call ends, counted from its arrival. */
@@ -35,7 +39,6 @@
 }
 
 const callIdPattern = /^[A-Za-z0-9._:-]{1,128}$/;
-const urlPattern = /^\/([A-Za-z0-9][A-Za-z0-9._-]*)(\/[!-~]*)?$/;
 
 /**
  * Earliest instant at which a request that is read now can have arrived. After a pause of the process,
@@ -59,44 +62,84 @@
         return Left(refusal(RefusalReason.QueueFull));
     }
     const { state } = board.read("readiness");
-    if (board.read("shutdown").requested || state === ReadinessState.Draining) {
-        return Left(refusal(RefusalReason.Draining));
+    const { requested, lingersUntil } = board.read("shutdown");
+    if (requested || state === ReadinessState.Draining) {
+        // Callers learn of the shutdown with a delay, and what they send until then is still served.
+        const lingers = context.now() < lingersUntil && board.read("configuration").held !== undefined;
+        return lingers ? Right(true) : Left(refusal(RefusalReason.Draining));
     }
     return state === ReadinessState.Ready ? Right(true) : Left(refusal(RefusalReason.NotReady));
 }
 
-export function readCall(board: Board, request: IncomingMessage): Either<Refusal, IncomingCall> {
-    return readRequestHead(request.rawHeaders).chain(head => {
+/** Reads the head of a caller's request and finds its route. */
+export function readEntryCall(
+    { board, dialect, random }: CallContext,
+    request: IncomingMessage,
+): Either<Refusal, IncomingCall> {
+    return readRequestHead(request.rawHeaders, dialect).chain(head => {
         const url = request.url ?? "";
         const method = request.method ?? "";
-        const [, service = "", backendPath = "/"] = urlPattern.exec(url) ?? [];
-        const callId = head.own.get("tanagertray-call-id");
-        const asked = head.own.get("tanagertray-deadline-ms");
-        const askedDeadlineMs = asked === undefined ? undefined : parseDeadlineMs(asked);
-        const path = backendPath.split("?", 1)[0] as string;
+        const callId = head.own.get(dialect.callIdHeader);
+        const asked = head.own.get(dialect.deadlineHeader);
+        const askedDeadlineMs = asked === undefined ? undefined : dialect.readDeadlineMs(asked);
         if (
-            service === "" ||
-            !isPlainPath(path) ||
             (callId !== undefined && !callIdPattern.test(callId)) ||
             (asked !== undefined && askedDeadlineMs === undefined)
         ) {
             return Left(refusal(RefusalReason.Malformed));
         }
-        const caller = head.own.get("tanagertray-caller") ?? "";
-        const resources = board.read("configuration").held?.resources ?? new Map();
-        return matchCall(resources, { service, method, path, caller }).chain(matched =>
-            (head.declaredBytes ?? 0) > matched.operation.maxBodyBytes
-                ? Left(refusal(RefusalReason.TooLarge))
-                : Right({ head, method, url, backendPath, matched, callId, askedDeadlineMs }),
+        return dialect
+            .match(board, { method, url, head, random: random() })
+            .chain(({ matched, backendPath, tellsRoute }) => {
+                const route = tellsRoute ? encodeRoute(matched) : undefined;
+                return checkSize({ head, method, url, backendPath, matched, callId, askedDeadlineMs, route });
+            });
+    });
+}
+
+/** Reads the head of a call that another daemon passed on. */
+export function readHopCall(
+    { board, dialect }: CallContext,
+    request: IncomingMessage,
+): Either<Refusal, IncomingCall> {
+    const rules = { ...ownDialect, passesHost: dialect.passesHost };
+    return readRequestHead(request.rawHeaders, rules).chain(head => {
+        const url = request.url ?? "";
+        const method = request.method ?? "";
+        const route = head.own.get(routeHeader);
+        const matched =
+            route === undefined
+                ? matchOwn(board, { method, url, head, random: 0 })
+                : takeRoute(board, head, url);
+        const callId = head.own.get("tanagertray-call-id");
+        const askedDeadlineMs = parseDeadlineMs(head.own.get("tanagertray-deadline-ms") ?? "");
+        return matched.chain(({ matched, backendPath }) =>
+            askedDeadlineMs === undefined || (callId !== undefined && !callIdPattern.test(callId))
+                ? Left(refusal(RefusalReason.Malformed))
+                : checkSize({ head, method, url, backendPath, matched, callId, askedDeadlineMs, route }),
         );
     });
 }
 
-/** Dot segments and backslashes could mean another path to a backend server than to the route. */
-function isPlainPath(path: string): boolean {
-    return path
-        .split("/")
-        .every(segment => !/[\\#]|%(?:00|5c)/i.test(segment) && !/^(?:\.|%2e){1,2}(?:;|$)/i.test(segment));
+function takeRoute(
+    board: Board,
+    head: RequestHead,
+    url: string,
+): Either<Refusal, Pick<DialectMatch, "matched" | "backendPath">> {
+    const matched = decodeRoute(
+        board,
+        head.own.get(routeHeader) ?? "",
+        head.own.get("tanagertray-caller") ?? "",
+    );
+    return matched === undefined
+        ? Left(refusal(RefusalReason.HopRejected))
+        : Right({ matched, backendPath: url });
+}
+
+function checkSize(call: IncomingCall): Either<Refusal, IncomingCall> {
+    return (call.head.declaredBytes ?? 0) > call.matched.operation.maxBodyBytes
+        ? Left(refusal(RefusalReason.TooLarge))
+        : Right(call);
 }
 
 export const callerLeft = new Error("the caller left");
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -2,15 +2,19 @@
 import { Left, Right, type Either } from "purify-ts/Either";
 import { bodySilenceMs, maxQueueMs } from "./constants.js";
 import type { CallContext } from "./context.js";
+import { Verdict } from "./dialect.js";
 import { exchange, ExchangeEnd, type ExchangeResult, type ResponseSink } from "./exchange.js";
 import type { BodyAttempt } from "./requestBody.js";
 import { deadlinePassed } from "./incoming.js";
+import { discardingSink } from "./responses.js";
 
 /** A call to a backend server of this host. */
 export interface LocalCall {
     readonly matched: MatchedCall;
     readonly attemptId: string;
     readonly callId: string;
+    /** Id that the caller itself gave; the backend server repeats it where the dialect says so. */
+    readonly givenCallId: string | undefined;
     readonly deadline: number;
     readonly method: string;
     readonly path: string;
@@ -38,6 +42,7 @@
     const slot = admitted.unsafeCoerce();
     const { address, connections } = slot.server;
     let refused = refusal(RefusalReason.Unreachable);
+    let refusedByServer: Refusal | undefined;
 
     function mayWrite(): boolean {
         const leftMs = remainingMs(call.deadline, context.now());
@@ -60,10 +65,13 @@
         path: call.path,
         headers: [
             ...call.headers,
-            ...["tanagertray-caller", call.matched.caller],
-            ...["tanagertray-call-id", call.callId],
-            ...["tanagertray-deadline-ms", String(Math.max(1, remainingMs(call.deadline, context.now())))],
-            ...["traceparent", call.traceparent],
+            ...context.dialect.backendHeaders({
+                caller: call.matched.caller,
+                callId: call.callId,
+                deadlineMs: Math.max(1, remainingMs(call.deadline, context.now())),
+                traceparent: call.traceparent,
+                server: slot.server.id,
+            }),
         ],
         body: call.body.chunks,
         signal: call.control.signal,
@@ -71,9 +79,11 @@
         bodySilenceMs,
         mayWrite,
         onInformation: () => undefined,
+        resets: () => context.pools.resets(address),
         onHead(status, raw) {
             context.pools.noteHeard(address);
-            return call.onHead(status, raw);
+            const verdict = context.dialect.judge({ status, raw, callId: call.givenCallId });
+            return takeHead[verdict](call, { status, raw, refuse: reason => (refusedByServer = reason) });
         },
     });
     context.fates.finish(call.attemptId);
@@ -90,5 +100,35 @@
     if (result.end === ExchangeEnd.NeverWritten) {
         return Left(call.control.signal.aborted ? refusal(RefusalReason.DeadlinePassed) : refused);
     }
+    if (refusedByServer !== undefined) {
+        const { reason, retryAfterMs } = refusedByServer;
+        context.telemetry.event("call.backendRefused", "info", {
+            callId: call.callId,
+            server: slot.server.id,
+            reason,
+            retryAfterMs,
+        });
+        return Left(refusedByServer);
+    }
     return Right(result);
 }
+
+interface ServerHead {
+    readonly status: number;
+    readonly raw: string[];
+    readonly refuse: (refused: Refusal) => void;
+}
+
+/** What happens with a response head, by what the dialect says of it. */
+const takeHead = {
+    [Verdict.Answer]: (call, { status, raw }) => call.onHead(status, raw),
+    [Verdict.NotRun]: (_call, { status, refuse }) => {
+        const isReplaced = status === misdirectedStatus;
+        refuse(refusal(isReplaced ? RefusalReason.BackendReplaced : RefusalReason.BackendRefused));
+        return discardingSink;
+    },
+    [Verdict.Foreign]: () => undefined,
+} satisfies Record<Verdict, (call: LocalCall, head: ServerHead) => ResponseSink | undefined>;
+
+/** RFC 9110, section 15.5.20. */
+const misdirectedStatus = 421;
--- a/packages/daemon/src/adapters/calls/pools.ts
+++ b/packages/daemon/src/adapters/calls/pools.ts
@@ -1,4 +1,4 @@
-import { Pool } from "undici";
+import { buildConnector, Pool } from "undici";
 import { connectTimeoutMs, poolIdleMs, poolUnusedMs } from "./constants.js";
 
 interface PoolEntry {
@@ -6,6 +6,12 @@
     usedAt: number;
     /** When the last response head came, on any of its connections. */
     heardAt: number;
+    readonly failures: ConnectionFailures;
+}
+
+/** Connections of a pool that ended with an error. */
+interface ConnectionFailures {
+    count: number;
 }
 
 /** Connections to other daemons and to backend servers, by address. */
@@ -14,6 +20,8 @@
     noteHeard(address: string): void;
     /** Whether a response head came from the address since then. */
     heardSince(address: string, instant: number): boolean;
+    /** Connections to the address that were reset so far. */
+    resets(address: string): number;
     /** Lets calls in flight finish on the old connections and gives new calls new connections. */
     retire(address: string): void;
     closeUnused(): void;
@@ -38,11 +46,7 @@
 
     return {
         get(address, connections) {
-            const entry = entries.get(address) ?? {
-                pool: openPool(address, connections),
-                usedAt: 0,
-                heardAt: -Infinity,
-            };
+            const entry = entries.get(address) ?? openEntry(address, connections);
             entry.usedAt = now();
             entries.set(address, entry);
             return entry.pool;
@@ -54,6 +58,7 @@
             }
         },
         heardSince: (address, instant) => (entries.get(address)?.heardAt ?? -Infinity) >= instant,
+        resets: address => entries.get(address)?.failures.count ?? 0,
         retire,
         closeUnused() {
             const limit = now() - poolUnusedMs;
@@ -70,12 +75,20 @@
     };
 }
 
-function openPool(address: string, connections: number): Pool {
-    return new Pool(`http://${address}`, {
+function openEntry(address: string, connections: number): PoolEntry {
+    const failures: ConnectionFailures = { count: 0 };
+    const connect = buildConnector({ timeout: connectTimeoutMs });
+    const pool = new Pool(`http://${address}`, {
         connections,
         pipelining: 1,
         keepAliveTimeout: poolIdleMs,
         keepAliveMaxTimeout: poolIdleMs,
-        connect: { timeout: connectTimeoutMs },
+        connect(options, callback) {
+            connect(options, (...result) => {
+                result[1]?.prependListener("error", () => (failures.count += 1));
+                callback(...result);
+            });
+        },
     });
+    return { pool, usedAt: 0, heardAt: -Infinity, failures };
 }
--- a/packages/daemon/src/adapters/calls/responses.ts
+++ b/packages/daemon/src/adapters/calls/responses.ts
@@ -1,8 +1,8 @@
-import { CallOutcome, statusOfRefusal, unknownOutcomeStatus, type Refusal } from "@tanagertray/core";
 import type { ServerResponse } from "node:http";
+import type { OwnAnswer } from "./dialect.js";
 import type { ResponseSink } from "./exchange.js";
 
-export interface RefusalOptions {
+export interface AnswerOptions {
     /** Whether the connection is to be closed, as when the daemon stops. */
     readonly close: boolean;
 }
@@ -11,47 +11,25 @@
  * Whether the whole request was received. A listener that closes a connection while a body still arrives resets
  * it, and the caller may lose the response.
  */
-export function hasArrived({ req }: ServerResponse): boolean {
+export function isRequestComplete({ req }: ServerResponse): boolean {
     const { complete, headers } = req;
     const hasNoBody =
         headers["transfer-encoding"] === undefined && Number(headers["content-length"] ?? 0) === 0;
     return complete || hasNoBody;
 }
 
-/** Answers that no part of the call ran. */
-export function sayNotRun(response: ServerResponse, refused: Refusal, { close }: RefusalOptions): void {
-    const status = statusOfRefusal(refused.reason);
-    const retryAfter = String(Math.max(1, Math.ceil(refused.retryAfterMs / 1_000)));
-    say(response, status, CallOutcome.NotRun, refused.reason, {
-        "retry-after": retryAfter,
-        ...(close && hasArrived(response) ? { connection: "close" } : {}),
-    });
-}
-
-/** Answers that the call was sent and its outcome is not known. */
-export function sayUnknown(response: ServerResponse, reason: string): void {
-    say(response, unknownOutcomeStatus, CallOutcome.Unknown, reason, {});
-}
-
-function say(
+/** Sends an answer of the daemon itself. */
+export function sendOwn(
     response: ServerResponse,
-    status: number,
-    outcome: CallOutcome,
-    reason: string,
-    headers: Record<string, string>,
+    { status, headers, body }: OwnAnswer,
+    { close }: AnswerOptions = { close: false },
 ): void {
     if (response.headersSent || response.destroyed) {
         return;
     }
-    const title = outcome === CallOutcome.NotRun ? "the call did not run" : "the outcome is unknown";
-    const document = { type: `urn:tanagertray:${outcome}`, title, status, detail: reason };
-    const body = JSON.stringify(document);
     response.writeHead(status, {
-        "content-type": "application/problem+json",
-        "content-length": Buffer.byteLength(body),
-        "tanagertray-outcome": outcome,
-        "tanagertray-reason": reason,
         ...headers,
+        ...(close && isRequestComplete(response) ? { connection: "close" } : {}),
     });
     response.end(body);
 }
--- a/packages/daemon/src/adapters/clock.ts
+++ b/packages/daemon/src/adapters/clock.ts
@@ -1,5 +1,6 @@
 import type { Board } from "../board.js";
 import type { Closeable } from "../closeable.js";
+import { steadyNow } from "../steadyClock.js";
 
 /** Period of the ticks by which controllers measure time, in milliseconds. */
 const tickMs = 100;
@@ -8,7 +9,7 @@
 export function createClock(board: Board): Closeable {
     const clock = board.claimValue("clock");
     const timer = setInterval(() => {
-        const now = Date.now();
+        const now = steadyNow();
         const gap = now - board.read("clock").now - tickMs;
         clock.write({ now, pausedForMs: Math.max(0, gap) });
     }, tickMs);
--- a/packages/daemon/src/adapters/peers/dialing.ts
+++ b/packages/daemon/src/adapters/peers/dialing.ts
@@ -12,6 +12,8 @@
     readonly neighbours: readonly Neighbour[];
     /** Addresses of the settings and of the domain row, for the first links. */
     readonly seeds: readonly string[];
+    /** Addresses at which hosts without a link may be, such as those of other domains: tried however many links there are. */
+    readonly strays: readonly string[];
     readonly ownAddress: string;
     readonly linkedHosts: { has(host: string): boolean; readonly size: number };
     readonly linkedAddresses: ReadonlySet<string>;
@@ -40,6 +42,9 @@
             .filter(address => isFree(address) && !wanted.has(address))
             .forEach(address => wanted.set(address, joinJitterMs));
     }
+    state.strays
+        .filter(address => isFree(address) && !wanted.has(address))
+        .forEach(address => wanted.set(address, joinJitterMs));
     const attempts = new Map<string, Attempt>();
     const dial: string[] = [];
     for (const [address, jitterMs] of wanted) {
--- a/packages/daemon/src/adapters/peers/handshake.ts
+++ b/packages/daemon/src/adapters/peers/handshake.ts
@@ -75,19 +75,25 @@
     return randomBytes(nonceBytes).toString("base64url");
 }
 
+/** Keys shared by the daemons; `undefined` when the network is trusted and nothing is proved. */
+export type PeerKeys = readonly string[] | undefined;
+
 /** Signs with the first key. */
-export function prove(keys: readonly string[], role: Role, transcript: Transcript): string {
-    return digest(keys[0] ?? "", role, transcript).toString("base64url");
+export function prove(keys: PeerKeys, role: Role, transcript: Transcript): string {
+    return digest(keys?.[0] ?? "", role, transcript).toString("base64url");
 }
 
 /** Accepts a proof by any of the keys, so that keys can be rotated. Compares in constant time. */
 export function verify(
-    keys: readonly string[],
+    keys: PeerKeys,
     role: Role,
     transcript: Transcript,
     proof: string,
 ): Either<Problem, void> {
     const given = Buffer.from(proof, "base64url");
+    if (keys === undefined) {
+        return Right(undefined);
+    }
     const matches = keys.filter(key => {
         const expected = digest(key, role, transcript);
         return key !== "" && given.length === expected.length && timingSafeEqual(given, expected);
--- a/packages/daemon/src/adapters/peers/link.ts
+++ b/packages/daemon/src/adapters/peers/link.ts
@@ -11,6 +11,7 @@
     Role,
     verify,
     type HandshakeMessage,
+    type PeerKeys,
     type Identity,
     type Transcript,
 } from "./handshake.js";
@@ -64,7 +65,7 @@
     readonly role: Role;
     readonly dialed?: string;
     readonly self: Identity;
-    readonly keys: readonly string[];
+    readonly keys: PeerKeys;
     readonly now: () => number;
     /** Asked by the dialer before it proves a key: whether it has a proved link to the host that it dialed itself. */
     readonly alreadyDialed: (host: string) => boolean;
--- a/packages/daemon/src/adapters/peers/peers.ts
+++ b/packages/daemon/src/adapters/peers/peers.ts
@@ -35,6 +35,7 @@
 import { Role } from "./handshake.js";
 import { CloseCode, createLink, LinkPhase, type Link } from "./link.js";
 import { replaces } from "./linkTable.js";
+import { findStrays } from "./strays.js";
 import { createHeartbeat, send, sendFrame, sendOrWait } from "./sending.js";
 
 export type { PeersOptions };
@@ -226,7 +227,13 @@
     const { attempts, board, links, random, self } = context;
     const choice = chooseDials({
         neighbours: [...board.read("topology").neighbours, ...waitedFor(context)],
-        seeds: [...board.read("settings").peers, ...board.read("domainAddresses")],
+        seeds: [
+            ...board.read("settings").peers,
+            ...(board.read("domainAddresses").get(self.failureDomain) ?? []),
+        ],
+        strays: findStrays(board.read("membership"), board.read("domainAddresses"), {
+            isRelay: board.read("topology").domainRelay,
+        }),
         ownAddress: self.address,
         linkedHosts: links,
         // A host may be listed by another address than its own, such as that of an address translation.
--- /dev/null
+++ b/packages/daemon/src/adapters/peers/strays.ts
@@ -0,0 +1,32 @@
+import { HostState, isLive } from "@tanagertray/core";
+import type { Membership } from "../../board.js";
+
+/** Addresses that one domain relay tries beside those of its neighbours. */
+const maxStrays = 16;
+
+/**
+ * Addresses at which hosts may be that nobody here has a link to: those that the rows of other failure domains name and
+ * no live record does, and those of failed hosts of the own domain. A host that restarts while the platform is away
+ * knows no address, so the others have to find it.
+ */
+export function findStrays(
+    { self, records }: Membership,
+    listed: ReadonlyMap<string, readonly string[]>,
+    { isRelay }: { readonly isRelay: boolean },
+): readonly string[] {
+    if (!isRelay) {
+        return [];
+    }
+    const all = [...records.values()];
+    const live = new Set(all.filter(isLive).map(({ peerAddress }) => peerAddress));
+    const unknown = [...listed]
+        .filter(([domain]) => domain !== self.failureDomain)
+        .flatMap(([, addresses]) => addresses)
+        .filter(address => !live.has(address));
+    const failed = all
+        .filter(
+            ({ state, failureDomain }) => state === HostState.Failed && failureDomain === self.failureDomain,
+        )
+        .map(({ peerAddress }) => peerAddress);
+    return [...new Set([...unknown, ...failed])].slice(0, maxStrays);
+}
--- a/packages/daemon/src/board.ts
+++ b/packages/daemon/src/board.ts
@@ -72,6 +72,12 @@
     readonly composition: number;
 }
 
+export interface ShutdownState {
+    readonly requested: boolean;
+    /** Milliseconds since the epoch until which new calls are still taken after the request. */
+    readonly lingersUntil: number;
+}
+
 export const RevisionCommandKind = {
     Submit: "submit",
     Accept: "accept",
@@ -107,8 +113,8 @@
     membership: Value<Membership>;
     membershipOutbox: Feed<OutgoingMessage>;
     topology: Value<Topology>;
-    /** Addresses of the row `domain/<failure domain>`, for the first links. */
-    domainAddresses: Value<readonly string[]>;
+    /** Addresses of the rows `domain/<failure domain>`, by failure domain, for the first links. */
+    domainAddresses: Value<ReadonlyMap<string, readonly string[]>>;
     domainRowIo: Feed<PlatformCommand>;
     platformState: Value<PlatformState>;
     headReads: Feed<PlatformCommand>;
@@ -119,7 +125,7 @@
     configurationOutbox: Feed<OutgoingMessage>;
     joiningOutbox: Feed<OutgoingMessage>;
     readiness: Value<Readiness>;
-    shutdown: Value<{ readonly requested: boolean }>;
+    shutdown: Value<ShutdownState>;
     announcements: Feed<Announcement | DrainCommand>;
     backendServers: Value<ReadonlyMap<string, BackendServer>>;
     /** Hosts that offer each service, by tier. */
@@ -141,6 +147,7 @@
     backendServerEvents: Feed<Event>;
     operatorEvents: Feed<Event>;
     traceEvents: Feed<Event>;
+    daemonEvents: Feed<Event>;
 }
 
 export type { PeerTraffic, Topology };
@@ -164,7 +171,7 @@
                 composition: 0,
             },
             topology: { headReader: true, domainRelay: false, regionRelay: false, neighbours: [] },
-            domainAddresses: [],
+            domainAddresses: new Map(),
             platformState: {
                 head: undefined,
                 headTag: undefined,
@@ -176,7 +183,7 @@
             },
             configuration: { held: undefined },
             readiness: { state: ReadinessState.Joining, reason: "starting", floor: 0, since: now },
-            shutdown: { requested: false },
+            shutdown: { requested: false, lingersUntil: 0 },
             backendServers: new Map(),
             targets: new Map(),
             hostObservations: new Map(),
@@ -206,6 +213,7 @@
             backendServerEvents: feedCapacity,
             operatorEvents: feedCapacity,
             traceEvents: feedCapacity,
+            daemonEvents: feedCapacity,
         },
     });
 }
--- a/packages/daemon/src/commandLine.ts
+++ b/packages/daemon/src/commandLine.ts
@@ -1,13 +1,11 @@
 import { formatMistake, type Problem } from "@tanagertray/core";
 import { readFileSync } from "node:fs";
 import { parseArgs } from "node:util";
+import { ExitCode } from "./exitCode.js";
 import { readSettings } from "./settings/checkSettings.js";
 import { resolveSettings } from "./settings/resolveSettings.js";
 import type { ResolvedSettings } from "./settings/settings.js";
 
-export const ExitCode = { Done: 0, Failed: 1, Usage: 2 } as const;
-export type ExitCode = (typeof ExitCode)[keyof typeof ExitCode];
-
 /** What the command line asks for: a run with settings, or a text and an exit code. */
 export type Request =
     | { readonly run: true; readonly settings: ResolvedSettings }
--- a/packages/daemon/src/controllers/configuration.ts
+++ b/packages/daemon/src/controllers/configuration.ts
@@ -23,8 +23,9 @@
     const outbox = board.claimFeed("configurationOutbox");
     const reads = board.claimFeed("objectReads");
     const events = board.claimFeed("configurationEvents");
-    const { spread, region } = board.read("settings");
-    let state = createDistribution({ spread, region, interest: readInterest(board) });
+    const { spread, region, platform } = board.read("settings");
+    const { patienceMs } = platform;
+    let state = createDistribution({ spread, region, patienceMs, interest: readInterest(board) });
 
     function take(input: DistributionInput): void {
         const before = state;
--- a/packages/daemon/src/controllers/domainRow.ts
+++ b/packages/daemon/src/controllers/domainRow.ts
@@ -9,10 +9,16 @@
 import type { Board } from "../board.js";
 import type { Closeable } from "../closeable.js";
 
-/** Least time between two requests for the row by one host, in milliseconds. */
+/** Time between two reads of the rows by a host with too few links, in milliseconds. */
 const domainRowPeriodMs = 10_000;
+/** Time between two reads of the rows by a domain relay that has its links, in milliseconds. */
+const relayPeriodMs = 30_000;
+/** Time after an own write until the rows are read again, in which other starting domains write theirs. */
+const rereadMs = 500;
 /** Spread of the first read of a starting host, in milliseconds. */
-const joinJitterMs = 1_000;
+const joinJitterMs = 500;
+/** Prefix of the keys of the rows. */
+const domainPrefix = "domain/";
 /** Longest address that is taken from the row. */
 const maxAddressLength = 255;
 /** Links below which a host needs the addresses. */
@@ -24,41 +30,52 @@
 }
 
 /**
- * Reads the row `domain/<failure domain>` while this host has too few links, and keeps it current as a domain
- * relay. The row lists the hosts from which a starting host gets its first links.
+ * Reads the rows `domain/<failure domain>` while this host has too few links, and as a domain relay keeps that of its
+ * own domain current. A row lists the hosts from which a starting host, or another domain, gets its first links.
  */
 export function createDomainRow(board: Board, { random = Math.random }: DomainRowOptions = {}): Closeable {
     const addresses = board.claimValue("domainAddresses");
     const io = board.claimFeed("domainRowIo");
-    const key = `domain/${board.read("settings").failureDomain}`;
+    const key = `${domainPrefix}${board.read("settings").failureDomain}`;
     let nextAt = board.read("clock").now + random() * joinJitterMs;
     let sequence = 0;
     let pendingRead: string | undefined;
+    let pendingWrite: string | undefined;
     /** Reads in a row after which this host still had no link. */
     let readsWithoutLink = 0;
 
     function readWhenDue(): void {
         const { now } = board.read("clock");
-        const needed = board.read("peerLinks").size < fewLinks || board.read("topology").domainRelay;
-        if (now < nextAt || !needed) {
+        const isLonely = board.read("peerLinks").size < fewLinks;
+        if (now < nextAt || !(isLonely || board.read("topology").domainRelay)) {
             return;
         }
-        nextAt = now + domainRowPeriodMs;
+        nextAt = now + (isLonely ? domainRowPeriodMs : relayPeriodMs);
         pendingRead = nextId();
-        io.append({ id: pendingRead, request: { operation: PlatformOperation.ReadRow, key } });
+        const request = { operation: PlatformOperation.ListRows, prefix: domainPrefix } as const;
+        io.append({ id: pendingRead, request });
     }
 
     function takeReply({ id, result }: PlatformReply): void {
+        if (id === pendingWrite) {
+            pendingWrite = undefined;
+            nextAt = Math.min(nextAt, board.read("clock").now + rereadMs * (1 + random()));
+        }
         if (id !== pendingRead) {
             return;
         }
         pendingRead = undefined;
-        if (result.answer === PlatformAnswer.Row) {
-            const found = decodeAddresses(result.row);
-            addresses.write(found);
-            writeIfChanged(found, result.tag);
-        } else if (result.answer === PlatformAnswer.Missing) {
-            writeIfChanged([], undefined);
+        if (result.answer === PlatformAnswer.Rows) {
+            addresses.write(
+                new Map(
+                    result.rows.map(({ key: found, row }) => [
+                        found.slice(domainPrefix.length),
+                        decodeAddresses(row),
+                    ]),
+                ),
+            );
+            const own = result.rows.find(row => row.key === key);
+            writeIfChanged(decodeAddresses(own?.row), own?.tag);
         }
     }
 
@@ -74,8 +91,9 @@
         }
         const condition = expectedTag === undefined ? {} : { expectedTag };
         const row = { addresses: wanted };
+        pendingWrite = nextId();
         io.append({
-            id: nextId(),
+            id: pendingWrite,
             request: { operation: PlatformOperation.WriteRow, key, row, ...condition },
         });
     }
--- a/packages/daemon/src/controllers/headReading.ts
+++ b/packages/daemon/src/controllers/headReading.ts
@@ -15,6 +15,9 @@
 /** Asks for the head row while this host is a head reader of its failure domain, one read at a time. */
 export function createHeadReading(board: Board): Closeable {
     const reads = board.claimFeed("headReads");
+    const { watchMs } = board.read("settings").platform;
+    // A platform that holds reads answers as soon as the row changes, so the next read follows at once.
+    const periodAfter = { missing: headReadPeriodMs, served: watchMs > 0 ? 0 : headReadPeriodMs };
     let nextReadAt = 0;
     let sequence = 0;
     let failures = 0;
@@ -26,9 +29,9 @@
         if (!due) {
             return;
         }
-        nextReadAt = now + replyDeadlineMs;
+        nextReadAt = now + replyDeadlineMs + watchMs;
         sequence += 1;
-        const known = headTag === undefined ? {} : { knownTag: headTag };
+        const known = headTag === undefined ? {} : { knownTag: headTag, waitMs: watchMs };
         const request = { operation: PlatformOperation.ReadRow, key: headKey, ...known } as const;
         reads.append({ id: `${readIdPrefix}${sequence}`, request });
     }
@@ -41,7 +44,7 @@
         failures = isUnserved ? failures + 1 : 0;
         const delay = isUnserved
             ? backoffMs(failures, { firstMs: headReadPeriodMs, longestMs: longestRetryMs })
-            : headReadPeriodMs;
+            : periodAfter[result.answer === PlatformAnswer.Missing ? "missing" : "served"];
         nextReadAt = board.read("clock").now + delay;
     }
 
--- a/packages/daemon/src/draining.ts
+++ b/packages/daemon/src/draining.ts
@@ -1,11 +1,25 @@
 import { defaultDrainSeconds, ResourceKind, type Service } from "@tanagertray/core";
+import { keepAliveTimeoutMs } from "./adapters/httpListener.js";
 import type { Board } from "./board.js";
 
 /** Time beyond the drain limit for the listeners to close, in milliseconds. */
 const closeMarginMs = 1_000;
 
-/** Longest drain time of the services that the held configuration knows, in milliseconds. */
+/** Time that calls in flight have to finish: the setting, or the longest drain time of the held services. */
 export function drainLimitMs(board: Board): number {
+    const { graceMs } = board.read("settings").shutdown;
+    return graceMs ?? longestDrainMs(board);
+}
+
+/**
+ * Time for which idle connections stay open when the listeners close. Callers that had the time to linger were told
+ * by `connection: close` in each answer.
+ */
+export function idleGraceMs(board: Board): number {
+    return board.read("settings").shutdown.lingerMs > 0 ? 0 : keepAliveTimeoutMs;
+}
+
+function longestDrainMs(board: Board): number {
     const resources = [...(board.read("configuration").held?.resources.values() ?? [])];
     const limits = resources
         .filter((resource): resource is Service => resource.kind === ResourceKind.Service)
--- a/packages/daemon/src/eventFeeds.ts
+++ b/packages/daemon/src/eventFeeds.ts
@@ -12,4 +12,5 @@
     "backendServerEvents",
     "operatorEvents",
     "traceEvents",
+    "daemonEvents",
 ] as const satisfies readonly FeedName<Sections>[];
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
-import { ExitCode, readCommandLine } from "./commandLine.js";
+import { readCommandLine } from "./commandLine.js";
+import { ExitCode } from "./exitCode.js";
 import { runDaemon } from "./runDaemon.js";
 
 const request = readCommandLine(process.argv.slice(2));
--- a/packages/daemon/src/settings/checkSettings.ts
+++ b/packages/daemon/src/settings/checkSettings.ts
@@ -9,9 +9,18 @@
     type Mistakes,
     type Problem,
     type Rule,
+    type RuleByKind,
 } from "@tanagertray/core";
 import { Left, Right, type Either } from "purify-ts/Either";
-import { maxHostNameLength, maxPeers, maxSecretLength, maxSecrets, minSecretLength } from "./constants.js";
+import {
+    maxHostNameLength,
+    maxPeers,
+    maxRetryBurst,
+    maxSecretLength,
+    maxSecrets,
+    maxSettingMs,
+    minSecretLength,
+} from "./constants.js";
 import { Spread, TraceExporter, type Settings } from "./settings.js";
 
 export const LogLevel = { Debug: "debug", Info: "info", Warn: "warn", Error: "error" } as const;
@@ -23,7 +32,15 @@
 const secret: Rule = { kind: RuleKind.Secret, min: minSecretLength, max: maxSecretLength };
 const secrets: Rule = { kind: RuleKind.List, item: secret, min: 1, max: maxSecrets, unique: true };
 
-const settingsRule: Rule = {
+const milliseconds: Rule = {
+    kind: RuleKind.Number,
+    min: 0,
+    max: maxSettingMs,
+    integer: true,
+    unit: "milliseconds",
+};
+
+const settingsRule: RuleByKind["group"] = {
     kind: RuleKind.Group,
     required: {
         host: label,
@@ -34,7 +51,11 @@
             required: { calls: endpoint, peer: endpoint, admin: endpoint },
             optional: {},
         },
-        platform: { kind: RuleKind.Group, required: { url }, optional: {} },
+        platform: {
+            kind: RuleKind.Group,
+            required: { url },
+            optional: { watchMs: milliseconds, patienceMs: milliseconds },
+        },
         keys: {
             kind: RuleKind.Group,
             required: { operator: secrets, backendServer: secrets, peer: secrets },
@@ -46,6 +67,20 @@
         peers: { kind: RuleKind.List, item: endpoint, min: 0, max: maxPeers, unique: true },
         spread: { kind: RuleKind.Choice, values: Object.values(Spread) },
         outsideCallers: { kind: RuleKind.Flag },
+        trustedNetwork: { kind: RuleKind.Flag },
+        retries: {
+            kind: RuleKind.Group,
+            required: {},
+            optional: {
+                ratio: { kind: RuleKind.Number, min: 0, max: 1, integer: false, unit: "" },
+                burst: { kind: RuleKind.Number, min: 0, max: maxRetryBurst, integer: false, unit: "retries" },
+            },
+        },
+        shutdown: {
+            kind: RuleKind.Group,
+            required: {},
+            optional: { lingerMs: milliseconds, graceMs: milliseconds },
+        },
         log: {
             kind: RuleKind.Group,
             required: {},
@@ -59,6 +94,15 @@
     },
 };
 
+const { keys, ...alwaysRequired } = settingsRule.required;
+
+/** In a trusted network the keys may be left out. */
+const trustedRule: Rule = {
+    ...settingsRule,
+    required: alwaysRequired,
+    optional: { ...settingsRule.optional, ...(keys === undefined ? {} : { keys }) },
+};
+
 /**
  * Reads settings from JSON with comments and lists every mistake. No message repeats a token or key.
  *
@@ -74,7 +118,8 @@
 /** Checks parsed settings and lists every mistake. */
 export function checkSettings(settings: unknown): Either<readonly Problem[], Settings> {
     const mistakes = createMistakes(ProblemCode.InvalidSetting);
-    checkValue(settingsRule, settings, [], mistakes);
+    const trusted = isGroup(settings) && settings["trustedNetwork"] === true;
+    checkValue(trusted ? trustedRule : settingsRule, settings, [], mistakes);
     if (isGroup(settings)) {
         checkListeners(settings["listen"], mistakes);
         checkSharedSecrets(settings["keys"], mistakes);
--- a/packages/daemon/src/settings/constants.ts
+++ b/packages/daemon/src/settings/constants.ts
@@ -7,3 +7,6 @@
 export const maxSecrets = 2;
 export const maxHostNameLength = 253;
 export const maxPeers = 64;
+/** Longest time that a setting may name, in milliseconds. */
+export const maxSettingMs = 600_000;
+export const maxRetryBurst = 1_000;
--- a/packages/daemon/src/settings/resolveSettings.ts
+++ b/packages/daemon/src/settings/resolveSettings.ts
@@ -1,3 +1,4 @@
+import { retryBurst, retryRatio, storePatienceMs } from "@tanagertray/core";
 import { Spread, TraceExporter, type Endpoint, type ResolvedSettings, type Settings } from "./settings.js";
 
 /**
@@ -20,10 +21,26 @@
             admin: parseEndpoint(settings.listen.admin),
         },
         advertise: { peer: parseEndpoint(settings.advertise?.peer ?? settings.listen.peer) },
-        platform: { url: settings.platform.url },
+        platform: {
+            url: settings.platform.url,
+            watchMs: settings.platform.watchMs ?? 0,
+            patienceMs: settings.platform.patienceMs ?? storePatienceMs,
+        },
         peers: settings.peers ?? [],
-        keys: settings.keys,
+        keys: {
+            operator: settings.keys?.operator ?? [],
+            backendServer: settings.keys?.backendServer ?? [],
+            peer: settings.trustedNetwork === true ? undefined : (settings.keys?.peer ?? []),
+        },
         spread: settings.spread ?? Spread.Eager,
+        retries: {
+            ratio: settings.retries?.ratio ?? retryRatio,
+            burst: settings.retries?.burst ?? retryBurst,
+        },
+        shutdown: {
+            lingerMs: settings.shutdown?.lingerMs ?? 0,
+            graceMs: settings.shutdown?.graceMs,
+        },
         outsideCallers: settings.outsideCallers ?? true,
         log: { level: settings.log?.level ?? "info" },
         traces: { exporter: settings.traces?.exporter ?? TraceExporter.None, url: settings.traces?.url },
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -1,4 +1,4 @@
-import { Spread } from "@tanagertray/core";
+import { Spread, type RetryLimits } from "@tanagertray/core";
 
 export { Spread };
 
@@ -31,13 +31,31 @@
     platform: {
         /** Base URL of the table service and object store. */
         url: string;
+        /**
+         * Time in milliseconds for which the platform may hold a read of the head row until the row changes.
+         * @default 0
+         */
+        watchMs?: number;
+        /**
+         * Longest time in milliseconds that a starting host waits for a peer that holds the accepted version before it
+         * reads the object store. 0 suits a platform whose head row brings the whole version.
+         * @default 2000
+         */
+        patienceMs?: number;
     };
     /**
      * `address:port` of the peer listeners of a few other hosts, for the first links.
      * @default []
      */
     peers?: string[];
-    keys: {
+    /**
+     * Whether only daemons of this deployment can reach the peer listener. Links and calls between daemons are then
+     * not authenticated, and `keys` may be left out: nobody has the access of operators and backend servers.
+     * @default false
+     */
+    trustedNetwork?: boolean;
+    /** Left out only in a trusted network. */
+    keys?: {
         /** Bearer tokens of operators; two are valid during a rotation. */
         operator: string[];
         /** Bearer tokens of backend servers. */
@@ -47,6 +65,31 @@
     };
     /** @default "eager" */
     spread?: Spread;
+    retries?: {
+        /**
+         * Share of the calls to a service that this host may send again.
+         * @default 0.1
+         */
+        ratio?: number;
+        /**
+         * Repeated calls to a service that this host may send at once after a quiet time.
+         * @default 10
+         */
+        burst?: number;
+    };
+    shutdown?: {
+        /**
+         * Time in milliseconds after the request to stop in which new calls are still taken, because callers learn of
+         * it with a delay.
+         * @default 0
+         */
+        lingerMs?: number;
+        /**
+         * Time in milliseconds after which calls in flight are cut.
+         * @default the longest drain time of the services
+         */
+        graceMs?: number;
+    };
     /**
      * Whether callers from outside may connect to this host.
      * @default true
@@ -70,14 +113,17 @@
     readonly region: string;
     readonly listen: { readonly calls: Endpoint; readonly peer: Endpoint; readonly admin: Endpoint };
     readonly advertise: { readonly peer: Endpoint };
-    readonly platform: { readonly url: string };
+    readonly platform: { readonly url: string; readonly watchMs: number; readonly patienceMs: number };
     readonly peers: readonly string[];
     readonly keys: {
         readonly operator: readonly string[];
         readonly backendServer: readonly string[];
-        readonly peer: readonly string[];
+        /** `undefined` in a trusted network. */
+        readonly peer: readonly string[] | undefined;
     };
     readonly spread: Spread;
+    readonly retries: Required<RetryLimits>;
+    readonly shutdown: { readonly lingerMs: number; readonly graceMs: number | undefined };
     readonly outsideCallers: boolean;
     readonly log: { readonly level: string };
     readonly traces: { readonly exporter: TraceExporter; readonly url: string | undefined };
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -6,3 +6,5 @@
 export * from "./ledger.js";
 export * from "./loadCaller.js";
 export * from "./headers.js";
+export * from "./site/metadataStore.js";
+export * from "./site/siteServer.js";
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,35 @@
+/** Bundles the daemon of a deployment on the platform into one file, so that a start reads and parses little. */
+import { build } from "esbuild";
+
+await build({
+    entryPoints: ["platform/src/main.ts"],
+    outfile: "target/tanagertray.cjs",
+    bundle: true,
+    platform: "node",
+    mainFields: ["module", "main"],
+    target: "node20",
+    format: "cjs",
+    minifySyntax: true,
+    minifyWhitespace: true,
+    legalComments: "none",
+    logLevel: "warning",
+    alias: {
+        "@tanagertray/core": "./packages/core/src/index.ts",
+        "@tanagertray/daemon": "./packages/daemon/src/index.ts",
+    },
+    plugins: [
+        {
+            name: "workspace sources",
+            setup(context) {
+                // Subpaths of the workspaces are compiled from source, so that the build needs no other step.
+                context.onResolve({ filter: /^@tanagertray\/daemon\/.+/ }, ({ path, resolveDir }) =>
+                    context.resolve(
+                        path.replace(/^@tanagertray\/daemon\//, `${process.cwd()}/packages/daemon/src/`) +
+                            ".ts",
+                        { kind: "import-statement", resolveDir },
+                    ),
+                );
+            },
+        },
+    ],
+});
--- a/scripts/mutation/protections.ts
+++ b/scripts/mutation/protections.ts
@@ -139,15 +139,15 @@
     },
     {
         name: "stale head row ignored by the platform client",
-        file: "packages/daemon/src/adapters/platform.ts",
+        file: "packages/daemon/src/adapters/platform/platformClient.ts",
         search: "if (head.version > (before.head?.version ?? 0)) {",
         replacement: "if (head.version !== before.head?.version) {",
     },
     {
         name: "stale read of the head row confirms nothing",
-        file: "packages/daemon/src/adapters/platform.ts",
-        search: "isStale ? before.headReadAt : Date.now()",
-        replacement: "Date.now()",
+        file: "packages/daemon/src/adapters/platform/platformClient.ts",
+        search: "isStale ? before.headReadAt : steadyNow()",
+        replacement: "steadyNow()",
     },
     {
         name: "record order by incarnation",
