--- a/packages/core/features/membership.feature
+++ b/packages/core/features/membership.feature
@@ -65,7 +65,7 @@
     # Guards against hosts that disagree on roles, and a graph that falls apart.
     Scenario: Roles and neighbours follow from the membership
         Given a membership of 2 regions with 3 domains of 20 hosts each
-        Then every domain has 2 head readers and 2 domain relays
+        Then every domain has 1 head reader and 2 domain relays
         And every region has 2 region relays
         And the links of all hosts connect the whole membership
         And a host without a role has at most 3 neighbours
--- a/packages/core/features/steps/routing.ts
+++ b/packages/core/features/steps/routing.ts
@@ -65,6 +65,7 @@
     incarnation: 1,
     slots: 4,
     startedAt: 0,
+    isSuspect: false,
 });
 
 Then(
--- a/packages/core/src/admission/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -1,6 +1,7 @@
 import { refusal, RefusalReason, type Refusal } from "../calls/refusal.js";
 import type { Service } from "../configuration/resource.js";
 import { hasLease } from "./announcement.js";
+import type { CapacityReport } from "../routing/observation.js";
 import { BackendServerState, type BackendServer } from "./backendServer.js";
 
 /** Calls of one service that may wait on a host. */
@@ -8,6 +9,8 @@
 /** Service time that is assumed before the first call has ended, in milliseconds. */
 const firstServiceMs = 10;
 const serviceTimeWeight = 0.2;
+/** Calls of one service differ by a factor of ten; 20 calls tell a fast backend server from a slow one. */
+const typicalTimeWeight = 0.05;
 /**
  * Share of the time that a call has left which it may spend waiting for a slot. When it may wait for
  * all of it, a queue of calls that run into their deadline stands in front of 12 slots, and 1% of the
@@ -35,6 +38,8 @@
     queued: number;
     /** Moving average of the time that a call holds its slot, in milliseconds. */
     serviceMs: number;
+    /** The same over more calls, by which hosts compare their backend servers; `undefined` before the first. */
+    typicalMs: number | undefined;
 }
 
 /** A backend server with the number of calls that it may work on. */
@@ -52,7 +57,13 @@
     | { readonly kind: typeof AdmissionKind.Refused; readonly refusal: Refusal };
 
 export function createServiceAdmission(): ServiceAdmission {
-    return { inUse: new Map(), partners: new Map(), queued: 0, serviceMs: firstServiceMs };
+    return {
+        inUse: new Map(),
+        partners: new Map(),
+        queued: 0,
+        serviceMs: firstServiceMs,
+        typicalMs: undefined,
+    };
 }
 
 /** Backend servers of a service that take work; the lower of the announced and configured figures holds. */
@@ -186,6 +197,23 @@
     useOf(state, partner).inUse -= 1;
     forgetIdle(state, partner);
     state.serviceMs += serviceTimeWeight * (heldMs - state.serviceMs);
+    state.typicalMs =
+        state.typicalMs === undefined
+            ? heldMs
+            : state.typicalMs + typicalTimeWeight * (heldMs - state.typicalMs);
+}
+
+/** What this host says of its backend servers of a service; `undefined` before their first call has ended. */
+export function reportCapacity(
+    state: ServiceAdmission | undefined,
+    capacities: readonly Capacity[],
+): CapacityReport | undefined {
+    if (state?.typicalMs === undefined) {
+        return undefined;
+    }
+    const inUse = [...state.inUse.values()].reduce((sum, calls) => sum + calls, 0);
+    const slots = capacities.reduce((sum, capacity) => sum + capacity.slots, 0);
+    return { calls: inUse + state.queued, slots, serviceMs: state.typicalMs };
 }
 
 /** Share of the service's slots on this host that are in use, from 0 to 1. */
--- a/packages/core/src/calls/refusal.ts
+++ b/packages/core/src/calls/refusal.ts
@@ -32,12 +32,26 @@
     readonly retryAfterMs: number;
 }
 
-export function refusal(reason: RefusalReason, retryAfterMs = defaultRetryAfterMs): Refusal {
+export function refusal(
+    reason: RefusalReason,
+    retryAfterMs = retryAfterByReason[reason] ?? defaultRetryAfterMs,
+): Refusal {
     return { reason, retryAfterMs };
 }
 
 export const defaultRetryAfterMs = 1_000;
 
+/** Reasons that pass sooner: another host or another connection serves the next attempt. */
+const retryAfterByReason: Readonly<Partial<Record<RefusalReason, number>>> = {
+    [RefusalReason.Unreachable]: 200,
+    [RefusalReason.BackendRefused]: 200,
+    [RefusalReason.BackendReplaced]: 200,
+    [RefusalReason.Barred]: 200,
+    [RefusalReason.QueueFull]: 300,
+    [RefusalReason.NoBackendServer]: 300,
+    [RefusalReason.NoTarget]: 500,
+};
+
 export const CallOutcome = { NotRun: "not-run", Unknown: "unknown" } as const;
 export type CallOutcome = (typeof CallOutcome)[keyof typeof CallOutcome];
 
--- a/packages/core/src/distribution/advance.ts
+++ b/packages/core/src/distribution/advance.ts
@@ -183,13 +183,13 @@
 function takeStoredObject(
     state: Distribution,
     context: Context,
-    { hash, bytes }: InputOf<typeof InputKind.StoredObject>,
+    { hash, bytes, related }: InputOf<typeof InputKind.StoredObject>,
 ): Distribution {
     const { targetFetch } = state;
     if (targetFetch?.source === SourceKind.Store && targetFetch.target.manifestHash === hash) {
         return bytes === undefined
             ? failTargetFetch(state)
-            : takeStoredManifest(state, context, targetFetch.target, bytes);
+            : takeStoredManifest(state, context, targetFetch.target, { bytes, parts: related ?? new Map() });
     }
     return bytes === undefined || contentHash(bytes) !== hash
         ? failPartFetch(state, hash, undefined)
--- a/packages/core/src/distribution/candidate.ts
+++ b/packages/core/src/distribution/candidate.ts
@@ -81,12 +81,12 @@
     state: Distribution,
     context: Context,
     target: VersionIdentity,
-    bytes: Uint8Array,
+    { bytes, parts }: { readonly bytes: Uint8Array; readonly parts: Parts },
 ): Distribution {
     if (contentHash(bytes) !== target.manifestHash) {
         return failTargetFetch(state);
     }
-    return takeManifest(state, context, target, parseJson(bytes), { parts: new Map(), from: undefined });
+    return takeManifest(state, context, target, parseJson(bytes), { parts, from: undefined });
 }
 
 /**
--- a/packages/core/src/distribution/state.ts
+++ b/packages/core/src/distribution/state.ts
@@ -138,7 +138,12 @@
     | { readonly kind: typeof InputKind.Message; readonly incoming: IncomingMessage }
     | { readonly kind: typeof InputKind.Head; readonly head: AcceptedVersion }
     /** Without bytes, the object store did not serve the object. */
-    | { readonly kind: typeof InputKind.StoredObject; readonly hash: string; readonly bytes?: Uint8Array }
+    | {
+          readonly kind: typeof InputKind.StoredObject;
+          readonly hash: string;
+          readonly bytes?: Uint8Array;
+          readonly related?: ReadonlyMap<string, Uint8Array>;
+      }
     | { readonly kind: typeof InputKind.Links; readonly links: ReadonlyMap<string, Link> }
     | { readonly kind: typeof InputKind.Interest; readonly interest: Interest }
     | { readonly kind: typeof InputKind.Floor; readonly floor: number }
--- a/packages/core/src/joining/readiness.ts
+++ b/packages/core/src/joining/readiness.ts
@@ -184,18 +184,30 @@
     }
     const elapsed = facts.now - joining.startedAt;
     const isPeerAlone = !facts.reachable && joining.answeredBy.size > 0;
-    return isPeerAlone && elapsed >= peerAnswersDeadlineMs
+    const patienceMs = haveAllAnswered(joining, facts) ? peerAnswerGraceMs : peerAnswersDeadlineMs;
+    return isPeerAlone && elapsed >= patienceMs
         ? admit("holds the version of its peers; the platform is unreachable")
         : wait("the head row was not read");
 }
 
 /** A read of the head row may be stale, so the peers get a short time to report a higher version. */
 function peersHadTime(joining: Joining, facts: ReadinessFacts): boolean {
-    const allAnswered =
-        facts.linkedHosts.length > 0 && facts.linkedHosts.every(host => joining.answeredBy.has(host));
-    return allAnswered || facts.now >= joining.startedAt + peerAnswerGraceMs;
+    const hasAnswers = facts.linkedHosts.length > 0 && allAnswered(joining, facts);
+    return hasAnswers || facts.now >= joining.startedAt + peerAnswerGraceMs;
 }
 
+/** With several peers that all answered, there is nobody left to wait for. */
+function haveAllAnswered(joining: Joining, facts: ReadinessFacts): boolean {
+    return facts.linkedHosts.length >= enoughPeers && allAnswered(joining, facts);
+}
+
+function allAnswered(joining: Joining, facts: ReadinessFacts): boolean {
+    return facts.linkedHosts.every(host => joining.answeredBy.has(host));
+}
+
+/** Links that a host with neighbours has; a single peer may itself be behind. */
+const enoughPeers = 2;
+
 function decideFenced(joining: Joining, facts: ReadinessFacts): Decision {
     if (joining.confirmation !== undefined && facts.held >= joining.confirmation) {
         return { state: ReadinessState.Ready, reason: "the version was confirmed after the pause" };
--- a/packages/core/src/membership/constants.ts
+++ b/packages/core/src/membership/constants.ts
@@ -26,6 +26,8 @@
 export const minVersionPublicationMs = 1_000;
 /** Records per second that tell only of a new version, over the whole deployment. */
 export const versionPublicationsPerSecond = 20;
-/** Hosts chosen for each role in a failure domain or region. */
+/** Head readers in each failure domain; the links bring what a reader that fails would have read. */
+export const headReadersPerDomain = 1;
+/** Relays chosen in each failure domain and region. */
 export const hostsPerRole = 2;
 export const ringSuccessors = 2;
--- a/packages/core/src/membership/topology.ts
+++ b/packages/core/src/membership/topology.ts
@@ -1,4 +1,4 @@
-import { hostsPerRole, ringSuccessors } from "./constants.js";
+import { headReadersPerDomain, hostsPerRole, ringSuccessors } from "./constants.js";
 import { hash32 } from "./hash.js";
 import { isLive } from "./order.js";
 import type { HostRecord } from "./record.js";
@@ -43,7 +43,9 @@
     }
     hosts.delete(self.host);
     return {
-        headReader: rendezvous(`head/${self.failureDomain}`, members, hostsPerRole).includes(self.host),
+        headReader: rendezvous(`head/${self.failureDomain}`, members, headReadersPerDomain).includes(
+            self.host,
+        ),
         domainRelay,
         regionRelay,
         neighbours: [...hosts].map(host => ({ host, address: live.get(host)?.peerAddress ?? "" })),
--- a/packages/core/src/platform/operation.ts
+++ b/packages/core/src/platform/operation.ts
@@ -70,7 +70,12 @@
 export type PlatformResult =
     | { readonly answer: typeof PlatformAnswer.Row; readonly row: unknown; readonly tag: string }
     | { readonly answer: typeof PlatformAnswer.Rows; readonly rows: readonly TaggedRow[] }
-    | { readonly answer: typeof PlatformAnswer.Object; readonly bytes: Uint8Array }
+    | {
+          readonly answer: typeof PlatformAnswer.Object;
+          readonly bytes: Uint8Array;
+          /** Further objects that came with it, by their hash, such as all parts of a manifest. */
+          readonly related?: ReadonlyMap<string, Uint8Array>;
+      }
     | { readonly answer: typeof PlatformAnswer.Unchanged }
     | { readonly answer: typeof PlatformAnswer.Missing }
     | { readonly answer: typeof PlatformAnswer.Written; readonly tag: string }
--- a/packages/core/src/routing/observation.ts
+++ b/packages/core/src/routing/observation.ts
@@ -17,6 +17,23 @@
     /** Share of slots in use, as reported, from 0 to 1. */
     load: number;
     loadAt: number;
+    /** Last word of the host on its backend servers of the service. */
+    report: DatedReport | undefined;
+}
+
+/** What a host says of its backend servers of one service. */
+export interface CapacityReport {
+    /** Calls at the backend servers and calls that wait for them. */
+    readonly calls: number;
+    readonly slots: number;
+    /** Moving average of the time that a call takes at a backend server, in milliseconds. */
+    readonly serviceMs: number;
+}
+
+interface DatedReport extends CapacityReport {
+    readonly at: number;
+    /** Calls of the observer that were in flight to the host when the report came. */
+    readonly inFlight: number;
 }
 
 /** Weight of a new latency in the moving average. */
@@ -30,6 +47,8 @@
 const refusalHalfLifeMs = 1_000;
 /** Longest time for which one refusal marks a host as saturated, in milliseconds. */
 const maxSaturationMs = 500;
+/** Age at which the calls of others in a capacity report count half, in milliseconds. */
+const reportHalfLifeMs = 2_000;
 /** Age at which a load report counts half, in milliseconds. */
 const loadHalfLifeMs = 1_000;
 
@@ -47,6 +66,7 @@
         saturatedUntil: 0,
         load: 0,
         loadAt: 0,
+        report: undefined,
     };
 }
 
@@ -94,6 +114,20 @@
     seen.loadAt = now;
 }
 
+export function noteCapacity(seen: HostObservation, report: CapacityReport, now: number): void {
+    seen.report = { ...report, at: now, inFlight: seen.inFlight };
+}
+
+/**
+ * Calls that the host is taken to have now: those of its report, changed by what the observer itself began and ended
+ * since. Other observers do the same, so an old report counts less.
+ */
+export function expectedCalls(seen: HostObservation, report: DatedReport, now: number): number {
+    const reported = Math.max(0, report.calls - report.inFlight);
+    const weight = 0.5 ** (Math.max(0, now - report.at) / reportHalfLifeMs);
+    return reported * weight + seen.inFlight;
+}
+
 /** Moving average of the latency, in milliseconds, halved every `latencyHalfLifeMs` without a call. */
 export function recentLatencyMs(seen: HostObservation, now: number): number {
     return seen.latencyMs * 0.5 ** (Math.max(0, now - seen.latencyAt) / latencyHalfLifeMs);
--- a/packages/core/src/routing/selection.ts
+++ b/packages/core/src/routing/selection.ts
@@ -1,4 +1,10 @@
-import { recentLatencyMs, recentLoad, recentRefusals, type HostObservation } from "./observation.js";
+import {
+    expectedCalls,
+    recentLatencyMs,
+    recentLoad,
+    recentRefusals,
+    type HostObservation,
+} from "./observation.js";
 import { Tier, tierOrder, type ServiceTargets, type Target } from "./targets.js";
 
 /** Smallest share of its calls that a starting host gets, so that it warms up at all. */
@@ -15,8 +21,23 @@
     readonly coldStartMs: number;
     /** Hosts that the call was already tried on. */
     readonly excluded: ReadonlySet<string>;
+    /** @default defaultDistances */
+    readonly distances?: Distances;
+    /**
+     * Size of the call and its answer.
+     * @default 0
+     */
+    readonly kilobytes?: number;
 }
 
+/** What it costs to leave the nearer tiers, as the wait that it must save. */
+export interface Distance {
+    readonly ms: number;
+    readonly msPerKilobyte: number;
+}
+
+export type Distances = Readonly<Record<Tier, Distance>>;
+
 export interface Selection {
     readonly target: Target;
     readonly tier: Tier;
@@ -24,7 +45,7 @@
 
 /**
  * Chooses a host: the better of two random hosts of each tier, and of these the one with the least
- * wait and distance. When every host is marked as saturated the marks are ignored, because they may
+ * wait and distance. When every host is suspected or marked as saturated the marks are ignored, because they may
  * be out of date and the host itself refuses what it cannot take.
  */
 export function chooseTarget(targets: ServiceTargets, options: SelectionOptions): Selection | undefined {
@@ -33,21 +54,24 @@
 
 type Skip = (target: Target, options: SelectionOptions) => boolean;
 
-function isSaturated({ host }: Target, { observations, now }: SelectionOptions): boolean {
-    return (observations.get(host)?.saturatedUntil ?? 0) > now;
+function isSaturated({ host, isSuspect }: Target, { observations, now }: SelectionOptions): boolean {
+    return isSuspect || (observations.get(host)?.saturatedUntil ?? 0) > now;
 }
 
 /**
- * Wait that a nearer tier must cause before a tier is used, in milliseconds. The last one also stands
- * for the price of bytes between regions. Without it a failure domain whose callers offer more than
- * its capacity queued for hundreds of milliseconds while other domains were idle.
+ * Wait that a nearer tier must cause before a tier is used. The last one also stands for the price of
+ * bytes between regions. Without it a failure domain whose callers offer more than its capacity queued
+ * for hundreds of milliseconds while other domains were idle.
  */
-const distanceMs = {
-    [Tier.OwnHost]: 0,
-    [Tier.OwnFailureDomain]: 2,
-    [Tier.OwnRegion]: 10,
-    [Tier.OtherRegions]: 40,
-} satisfies Record<Tier, number>;
+export const defaultDistances = {
+    [Tier.OwnHost]: { ms: 0, msPerKilobyte: 0 },
+    [Tier.OwnFailureDomain]: { ms: 2, msPerKilobyte: 0 },
+    [Tier.OwnRegion]: { ms: 10, msPerKilobyte: 0 },
+    [Tier.OtherRegions]: { ms: 40, msPerKilobyte: 0 },
+} satisfies Distances;
+
+/** Share of its slots above which a backend server slows down, so that calls there are expected to wait. */
+const comfortableShare = 0.8;
 
 function chooseFrom(targets: ServiceTargets, options: SelectionOptions, skip: Skip): Selection | undefined {
     const candidates = tierOrder.flatMap(tier => {
@@ -58,25 +82,32 @@
         return candidates[0];
     }
     const leastMs = leastLatencyMs(options.observations);
-    const price = ({ target, tier }: Selection) => distanceMs[tier] + waitMs(target, leastMs, options);
+    const { distances = defaultDistances, kilobytes = 0 } = options;
+    const price = ({ target, tier }: Selection) =>
+        distances[tier].ms + distances[tier].msPerKilobyte * kilobytes + waitMs(target, leastMs, options);
     return candidates.reduce((best, next) => (price(next) < price(best) ? next : best));
 }
 
-/** Least latency that was observed on a host of the service: that of a call that does not wait. */
+/** Least time that a call is known to take on a host of the service when it does not wait. */
 function leastLatencyMs(observations: ReadonlyMap<string, HostObservation>): number {
     let least = Infinity;
-    for (const { latencyMs } of observations.values()) {
-        least = latencyMs > 0 ? Math.min(least, latencyMs) : least;
+    for (const { latencyMs, report } of observations.values()) {
+        const knownMs = report?.serviceMs ?? latencyMs;
+        least = knownMs > 0 ? Math.min(least, knownMs) : least;
     }
     return least === Infinity ? 0 : least;
 }
 
 /** Time that a call is expected to lose on a host, from its latency, refusals and the calls in flight. */
-function waitMs(target: Target, leastMs: number, { observations, now }: SelectionOptions): number {
+function waitMs(target: Target, leastMs: number, options: SelectionOptions): number {
+    const { observations, now } = options;
     const seen = observations.get(target.host);
     if (seen === undefined) {
         return 0;
     }
+    if (seen.report !== undefined) {
+        return Math.max(0, reportedCostMs(target, seen, options) - leastMs);
+    }
     const latencyMs = Math.max(leastMs, recentLatencyMs(seen, now));
     const queued = Math.max(0, seen.inFlight + 1 - target.slots) / Math.max(1, target.slots);
     return latencyMs * (1 + queued) * (1 + recentRefusals(seen, now)) - leastMs;
@@ -115,6 +146,9 @@
     { observations, now, coldStartMs }: Pick<SelectionOptions, "observations" | "now" | "coldStartMs">,
 ): number {
     const seen = observations.get(target.host);
+    if (seen?.report !== undefined) {
+        return reportedCostMs(target, seen, { now, coldStartMs });
+    }
     const slots = Math.max(1, target.slots) * slowStartShare(target, now, coldStartMs);
     const latencyMs = Math.max(unknownLatencyMs, seen === undefined ? 0 : recentLatencyMs(seen, now));
     const load = seen === undefined ? 0 : recentLoad(seen, now);
@@ -122,6 +156,21 @@
     return (((seen?.inFlight ?? 0) + 1) / slots) * latencyMs * (1 + load) * (1 + refusals);
 }
 
+/** Time that one more call is expected to take on a host, from the host's own report and the refusals seen. */
+function reportedCostMs(
+    target: Target,
+    seen: HostObservation,
+    { now, coldStartMs }: Pick<SelectionOptions, "now" | "coldStartMs">,
+): number {
+    const { report } = seen;
+    if (report === undefined) {
+        return 0;
+    }
+    const slots = Math.max(1, report.slots) * slowStartShare(target, now, coldStartMs);
+    const waiting = Math.max(0, expectedCalls(seen, report, now) + 1 - comfortableShare * slots) / slots;
+    return report.serviceMs * (1 + waiting) * (1 + recentRefusals(seen, now));
+}
+
 /** Share of its slots that a starting host is taken to have, rising to 1 over the cold start. */
 export function slowStartShare(target: Target, now: number, coldStartMs: number): number {
     const age = Math.max(0, now - target.startedAt);
--- a/packages/core/src/routing/targets.ts
+++ b/packages/core/src/routing/targets.ts
@@ -23,6 +23,8 @@
     readonly incarnation: number;
     readonly slots: number;
     readonly startedAt: number;
+    /** A neighbour of the host gets no word from it. */
+    readonly isSuspect: boolean;
 }
 
 export type ServiceTargets = Readonly<Record<Tier, readonly Target[]>>;
@@ -58,6 +60,7 @@
                 incarnation: record.incarnation,
                 slots: offer.slots,
                 startedAt: offer.startedAt,
+                isSuspect: record.state === HostState.Suspect,
             });
         }
     }
--- a/packages/daemon/features/steps/callFixture.ts
+++ b/packages/daemon/features/steps/callFixture.ts
@@ -11,6 +11,7 @@
     type IncomingMessage,
     type Resource,
     type Span,
+    defaultDistances,
     retryBurst,
     retryRatio,
 } from "@tanagertray/core";
@@ -155,6 +156,7 @@
             peers: [],
             keys: { operator: [], backendServer: [], peer: ["new-key", "old-key"] },
             spread: "eager",
+            distances: defaultDistances,
             retries: { ratio: retryRatio, burst: retryBurst },
             shutdown: { lingerMs: 0, graceMs: undefined },
             outsideCallers: true,
--- a/packages/daemon/src/adapters/admin/admin.ts
+++ b/packages/daemon/src/adapters/admin/admin.ts
@@ -124,5 +124,5 @@
         return sendProblem(response, problem(ProblemCode.NotFound, message, { nextStep }), { status: 405 });
     }
     const message = `there is no path ${url.pathname.slice(0, 80)}`;
-    sendProblem(response, problem(ProblemCode.NotFound, message, { nextStep: "see docs/operations.md" }));
+    sendProblem(response, problem(ProblemCode.NotFound, message, { nextStep: "see docs/OPERATIONS.md" }));
 }
--- a/packages/daemon/src/adapters/calls/admissions.ts
+++ b/packages/daemon/src/adapters/calls/admissions.ts
@@ -7,6 +7,7 @@
     refusal,
     RefusalReason,
     releaseSlot,
+    reportCapacity,
     removeExpired,
     removeWaiting,
     requestAdmission,
@@ -14,6 +15,7 @@
     ResourceKind,
     type BackendServer,
     type Capacity,
+    type CapacityReport,
     type Refusal,
     type Service,
     type ServiceAdmission,
@@ -34,6 +36,7 @@
     acquire(service: Service, call: WaitingCall, control: AbortController): Promise<Either<Refusal, Slot>>;
     /** Load of the service on this host, from 0 to 1. */
     load(service: Service): number;
+    report(service: Service): CapacityReport | undefined;
     close(): void;
 }
 
@@ -72,6 +75,7 @@
     return {
         acquire: (service, call, control) => acquire(admitting, service, call, control),
         load: service => loadOf(admitting.states.get(service.name), capacities(admitting, service)),
+        report: service => reportCapacity(admitting.states.get(service.name), capacities(admitting, service)),
         close: () => subscriptions.forEach(subscription => subscription.close()),
     };
 }
--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -1,6 +1,7 @@
 import {
     AttemptFailure,
     defaultRetryAfterMs,
+    noteCapacity,
     noteEnd,
     noteFailure,
     noteLoad,
@@ -17,6 +18,7 @@
     type Refusal,
     type Selection,
 } from "@tanagertray/core";
+import { capacityHeader, decodeCapacity } from "./capacityHeader.js";
 import { bodySilenceMs, hopConnections, hopSilenceMs } from "./constants.js";
 import type { CallContext } from "./context.js";
 import { UnknownCause } from "./dialect.js";
@@ -120,6 +122,10 @@
         if (load >= 0) {
             noteLoad(seen, load, context.now());
         }
+        const capacity = decodeCapacity(headerValue(raw, capacityHeader));
+        if (capacity !== undefined) {
+            noteCapacity(seen, capacity, context.now());
+        }
         const reason = headerValue(raw, "tanagertray-reason");
         if (reason !== undefined) {
             const retryAfterMs = Number(headerValue(raw, "tanagertray-retry-after-ms") ?? Number.NaN);
--- a/packages/daemon/src/adapters/calls/constants.ts
+++ b/packages/daemon/src/adapters/calls/constants.ts
@@ -21,7 +21,8 @@
 export const hopConnections = 128;
 /** Idle time of pooled connections, in milliseconds; the listeners keep theirs for 30 s. */
 export const poolIdleMs = 4_000;
-export const connectTimeoutMs = 1_000;
+/** Time for a connection to another daemon or a backend server: twenty round trips between regions. */
+export const connectTimeoutMs = 500;
 /** Pools are closed when unused for this time, in milliseconds. */
 export const poolUnusedMs = 60_000;
 /** Gap between the clock's ticks of 100 ms above which the process counts as having stalled, in milliseconds. */
--- a/packages/daemon/src/adapters/calls/handleEntry.ts
+++ b/packages/daemon/src/adapters/calls/handleEntry.ts
@@ -6,12 +6,15 @@
     isFinalRefusal,
     nextStepAfter,
     NextStep,
+    noteCapacity,
     refusal,
     RefusalReason,
     remainingMs,
     Tier,
     type Refusal,
     type Selection,
+    type Service,
+    type ServiceTargets,
 } from "@tanagertray/core";
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
@@ -35,6 +38,9 @@
 
 /** Time to ask for a call's fate once the deadline has passed, in milliseconds. */
 const lateFateWaitMs = 200;
+/** Size that an answer is taken to have, with the heads of call and answer, in kilobytes. */
+const answerKilobytes = 2;
+const bytesPerKilobyte = 1_024;
 const keptHeaders: ReadonlySet<string> = new Set([outcomeHeader]);
 const noHeaders: ReadonlySet<string> = new Set();
 const unknownOutcomeHeader = [outcomeHeader, CallOutcome.Unknown];
@@ -188,7 +194,10 @@
 function select(context: CallContext, entry: EntryCall): Selection | undefined {
     const { service } = entry.call.matched;
     const targets = context.board.read("targets").get(service.name);
+    noteOwnCapacity(context, service, targets);
     const options = {
+        distances: context.board.read("settings").distances,
+        kilobytes: (entry.call.head.declaredBytes ?? 0) / bytesPerKilobyte + answerKilobytes,
         observations: context.observations.of(service.name),
         now: context.now(),
         random: context.random,
@@ -205,6 +214,15 @@
     return chooseTarget(targets, options) ?? again;
 }
 
+/** Other hosts report with each answer; this one knows its own backend servers at any time. */
+function noteOwnCapacity(context: CallContext, service: Service, targets: ServiceTargets | undefined): void {
+    const own = targets?.[Tier.OwnHost][0];
+    const report = own === undefined ? undefined : context.admissions.report(service);
+    if (own !== undefined && report !== undefined) {
+        noteCapacity(context.observations.at(service.name, own.host), report, context.now());
+    }
+}
+
 async function attemptOnce(
     context: CallContext,
     entry: EntryCall,
--- a/packages/daemon/src/adapters/calls/handleHop.ts
+++ b/packages/daemon/src/adapters/calls/handleHop.ts
@@ -1,7 +1,8 @@
 import { refusal, RefusalReason, type Refusal } from "@tanagertray/core";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Left, Right, type Either } from "purify-ts/Either";
-import { progressMs } from "./constants.js";
+import { encodeCapacity } from "./capacityHeader.js";
+import { keptBodyBytes, progressMs } from "./constants.js";
 import type { CallContext } from "./context.js";
 import { UnknownCause } from "./dialect.js";
 import { ExchangeEnd } from "./exchange.js";
@@ -52,6 +53,8 @@
     const span = context.telemetry.startSpan("hop", head.own.get("traceparent"));
     const maxBytes = matched.operation.maxBodyBytes;
     const body = createRequestBody(request, { hasBody: head.hasBody, maxBytes, repeatable: false }).open();
+    // The entry daemon sends a longer body only once it knows that the call was admitted.
+    const waitsForAdmission = head.hasBody && (head.declaredBytes ?? Infinity) > keptBodyBytes;
     let progress: NodeJS.Timeout | undefined;
     const outcome = await runLocally(context, {
         matched,
@@ -66,7 +69,9 @@
         body,
         control: cancel.control,
         onAdmitted() {
-            response.writeProcessing();
+            if (waitsForAdmission) {
+                response.writeProcessing();
+            }
             // Shows the entry daemon that the connection is not silent while the backend server works.
             progress = setInterval(() => response.writeProcessing(), progressMs);
             body.commit();
@@ -79,6 +84,7 @@
             response.writeHead(status, [
                 ...responseHeaders(raw, keptHeaders),
                 ...["tanagertray-load", load],
+                ...encodeCapacity(context.admissions.report(matched.service)),
                 ...closing,
             ]);
             return sinkTo(response);
--- a/packages/daemon/src/adapters/calls/telemetry.ts
+++ b/packages/daemon/src/adapters/calls/telemetry.ts
@@ -1,6 +1,5 @@
 import type { EventLevel } from "@tanagertray/core";
 import { type Event } from "@tanagertray/core";
-import { randomBytes } from "node:crypto";
 import type { Board } from "../../board.js";
 
 /** A span in progress. */
@@ -17,6 +16,20 @@
 
 const traceparentPattern = /^00-(?!0{32})([0-9a-f]{32})-(?!0{16})([0-9a-f]{16})-([0-9a-f]{2})$/;
 
+/** Digits that one random number gives. */
+const digitsPerNumber = 8;
+
+/** Ids of traces need no secrecy, and a call of the system for each costs more than the rest of a span. */
+function randomHex(digits: number): string {
+    let text = "";
+    while (text.length < digits) {
+        text += Math.floor(Math.random() * 2 ** 32)
+            .toString(16)
+            .padStart(digitsPerNumber, "0");
+    }
+    return text;
+}
+
 /** Writes the `spans` and `callEvents` sections. */
 export function createTelemetry(board: Board, now: () => number): Telemetry {
     const spans = board.claimFeed("spans");
@@ -26,8 +39,8 @@
         startSpan(name, traceparent) {
             const [, givenTrace, parentSpanId, flags = "01"] =
                 traceparentPattern.exec(traceparent ?? "") ?? [];
-            const traceId = givenTrace ?? randomBytes(16).toString("hex");
-            const spanId = randomBytes(8).toString("hex");
+            const traceId = givenTrace ?? randomHex(32);
+            const spanId = randomHex(16);
             const startedAt = now();
             return {
                 traceparent: `00-${traceId}-${spanId}-${flags}`,
--- a/packages/daemon/src/controllers/backendServers.ts
+++ b/packages/daemon/src/controllers/backendServers.ts
@@ -37,8 +37,16 @@
         if (known !== undefined && !isNewerAnnouncement(announcement, known)) {
             return;
         }
+        const rivals = [...current.values()].filter(
+            other => other.address === announcement.address && other.id !== announcement.id,
+        );
+        if (rivals.some(({ incarnation }) => incarnation > announcement.incarnation)) {
+            return warn("backendServer.late", { id: announcement.id, address: announcement.address });
+        }
         const server = merge(announcement, known, board.read("clock").now);
-        servers.write(new Map(current).set(server.id, server));
+        const others = [...current].filter(([id]) => !rivals.some(rival => rival.id === id));
+        servers.write(new Map(others).set(server.id, server));
+        rivals.forEach(({ id, service }) => warn("backendServer.replaced", { id, service, by: server.id }));
         reportChange(server, known);
     }
 
--- a/packages/daemon/src/controllers/configuration.ts
+++ b/packages/daemon/src/controllers/configuration.ts
@@ -61,7 +61,8 @@
         }
         const hash = id.slice(readIdPrefix.length);
         if (result.answer === PlatformAnswer.Object) {
-            return take({ kind: InputKind.StoredObject, hash, bytes: result.bytes });
+            const { bytes, related = new Map() } = result;
+            return take({ kind: InputKind.StoredObject, hash, bytes, related });
         }
         const fields = { hash, answer: result.answer };
         events.append({ name: "configuration.objectUnavailable", level: EventLevel.Warn, fields });
--- a/packages/daemon/src/controllers/headReading.ts
+++ b/packages/daemon/src/controllers/headReading.ts
@@ -24,8 +24,9 @@
 
     function readWhenDue(): void {
         const { now } = board.read("clock");
-        const { headRead, headTag } = board.read("platformState");
-        const due = now >= nextReadAt && (board.read("topology").headReader || !headRead);
+        const { head, headTag } = board.read("platformState");
+        // A host that started before the first version was accepted still has to learn that its own is current.
+        const due = now >= nextReadAt && (board.read("topology").headReader || head === undefined);
         if (!due) {
             return;
         }
--- a/packages/daemon/src/settings/checkSettings.ts
+++ b/packages/daemon/src/settings/checkSettings.ts
@@ -6,6 +6,7 @@
     parseText,
     ProblemCode,
     RuleKind,
+    Tier,
     type Mistakes,
     type Problem,
     type Rule,
@@ -40,6 +41,19 @@
     unit: "milliseconds",
 };
 
+const wait: Rule = {
+    kind: RuleKind.Number,
+    min: 0,
+    max: maxSettingMs,
+    integer: false,
+    unit: "milliseconds",
+};
+const distance: Rule = {
+    kind: RuleKind.Group,
+    required: {},
+    optional: { ms: wait, msPerKilobyte: wait },
+};
+
 const settingsRule: RuleByKind["group"] = {
     kind: RuleKind.Group,
     required: {
@@ -68,6 +82,11 @@
         spread: { kind: RuleKind.Choice, values: Object.values(Spread) },
         outsideCallers: { kind: RuleKind.Flag },
         trustedNetwork: { kind: RuleKind.Flag },
+        distances: {
+            kind: RuleKind.Group,
+            required: {},
+            optional: Object.fromEntries(Object.values(Tier).map(tier => [tier, distance])),
+        },
         retries: {
             kind: RuleKind.Group,
             required: {},
--- a/packages/daemon/src/settings/resolveSettings.ts
+++ b/packages/daemon/src/settings/resolveSettings.ts
@@ -1,4 +1,11 @@
-import { retryBurst, retryRatio, storePatienceMs } from "@tanagertray/core";
+import {
+    defaultDistances,
+    retryBurst,
+    retryRatio,
+    storePatienceMs,
+    Tier,
+    type Distances,
+} from "@tanagertray/core";
 import { Spread, TraceExporter, type Endpoint, type ResolvedSettings, type Settings } from "./settings.js";
 
 /**
@@ -33,6 +40,7 @@
             peer: settings.trustedNetwork === true ? undefined : (settings.keys?.peer ?? []),
         },
         spread: settings.spread ?? Spread.Eager,
+        distances: resolveDistances(settings.distances),
         retries: {
             ratio: settings.retries?.ratio ?? retryRatio,
             burst: settings.retries?.burst ?? retryBurst,
@@ -47,6 +55,16 @@
     };
 }
 
+function resolveDistances(given: Settings["distances"] = {}): Distances {
+    const resolve = (tier: Tier) => ({ ...defaultDistances[tier], ...given[tier] });
+    return {
+        [Tier.OwnHost]: resolve(Tier.OwnHost),
+        [Tier.OwnFailureDomain]: resolve(Tier.OwnFailureDomain),
+        [Tier.OwnRegion]: resolve(Tier.OwnRegion),
+        [Tier.OtherRegions]: resolve(Tier.OtherRegions),
+    };
+}
+
 /** Splits `address:port`; an IPv6 number stands in brackets. */
 export function parseEndpoint(text: string): Endpoint {
     const colon = text.lastIndexOf(":");
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -1,4 +1,4 @@
-import { Spread, type RetryLimits } from "@tanagertray/core";
+import { Spread, type Distance, type Distances, type RetryLimits, type Tier } from "@tanagertray/core";
 
 export { Spread };
 
@@ -65,6 +65,11 @@
     };
     /** @default "eager" */
     spread?: Spread;
+    /**
+     * What it costs to leave the nearer hosts for others, by where those are.
+     * @default defaultDistances
+     */
+    distances?: Partial<Record<Tier, Partial<Distance>>>;
     retries?: {
         /**
          * Share of the calls to a service that this host may send again.
@@ -122,6 +127,7 @@
         readonly peer: readonly string[] | undefined;
     };
     readonly spread: Spread;
+    readonly distances: Distances;
     readonly retries: Required<RetryLimits>;
     readonly shutdown: { readonly lingerMs: number; readonly graceMs: number | undefined };
     readonly outsideCallers: boolean;
--- a/packages/daemon/src/start.ts
+++ b/packages/daemon/src/start.ts
@@ -100,7 +100,9 @@
         },
     ];
 
-    async function close(): Promise<void> {
+    let closing: Promise<void> | undefined;
+
+    async function closeParts(): Promise<void> {
         const { lingerMs } = settings.shutdown;
         shutdown.write({ requested: true, lingersUntil: steadyNow() + lingerMs });
         await new Promise(resolve => setTimeout(resolve, lingerMs));
@@ -112,5 +114,10 @@
         board.close();
     }
 
+    function close(): Promise<void> {
+        closing ??= closeParts();
+        return closing;
+    }
+
     return { board, note, shutDown: () => waitForCalls(board, close()), close };
 }
--- a/scripts/bench/calls/loopbackHost.ts
+++ b/scripts/bench/calls/loopbackHost.ts
@@ -8,6 +8,7 @@
     type BackendServer,
     type HostRecord,
     type Resource,
+    defaultDistances,
     retryBurst,
     retryRatio,
 } from "@tanagertray/core";
@@ -77,6 +78,7 @@
             peers: [],
             keys: { operator: [], backendServer: [], peer: [key] },
             spread: "eager",
+            distances: defaultDistances,
             retries: { ratio: retryRatio, burst: retryBurst },
             shutdown: { lingerMs: 0, graceMs: undefined },
             outsideCallers: true,
--- a/scripts/proofs/scenarios.ts
+++ b/scripts/proofs/scenarios.ts
@@ -9,7 +9,7 @@
     readonly tags: ReadonlySet<string>;
 }
 
-const skippedFolders = new Set(["node_modules", "dist", "build", ".git"]);
+const skippedFolders = new Set(["node_modules", "dist", "build", "target", ".git"]);
 
 /** Reads every scenario below the folder with its tags, sorted by file and place. */
 export function readScenarios(folder: string): Scenario[] {
