feat(admission): the objective bounds the wait, urgent calls first; a lighter call path

Change: a call is refused at arrival when its expected wait exceeds half of its objective; waiting calls stand by priority. AbortController gives way to a light cancellation, which also no longer fires after whole answers. Routes of calls are matched, encoded and decoded once for each configuration. Questionnaire, checks and generation know path routes and limits. Failed attempts are logged with what the choice was based on.

--- a/packages/cli/src/commands/answersInit.ts
+++ b/packages/cli/src/commands/answersInit.ts
@@ -86,6 +86,23 @@
             "mayCall": ["example-service"]
         }
     }
+
+    // Routes by host name and path prefix, and limits of callers' connections, are optional:
+    // , "routes": {
+    //     "example-route": {
+    //         "hostName": "example.internal",
+    //         "prefix": "/items/",
+    //         // Services by weight.
+    //         "destinations": { "example-service": 1 },
+    //         // "safe" may run more than once, "unsafe" and "upload" at most once.
+    //         "repetition": "safe",
+    //         "maxAttempts": 2,
+    //         "timeoutMs": 5000,
+    //         "latencyObjectiveMs": 500,
+    //         "priority": 0
+    //     }
+    // },
+    // "limits": { "maxBodyBytes": 1048576, "idleTimeoutMs": 5000 }
 }
 `;
 }
--- a/packages/core/features/admission.feature
+++ b/packages/core/features/admission.feature
@@ -42,6 +42,15 @@
         When 10 calls of "east" wait and a call of "east" has 1000 ms left where calls take 10 ms
         Then a call with 50 ms left is refused and one with 70 ms left waits where calls take 10 ms
 
+    Scenario: Under overload the calls that are admitted are in time, and the others are refused at once
+        When 125% of the capacity arrive for 20 s with an objective of 400 ms and a deadline of 2500 ms
+        Then at least 65% of all calls are answered within the objective
+        And without the objective less than 30% are
+
+    Scenario: The most urgent of the waiting calls come first, and none behind them counts for their wait
+        Given an admission state with 4 slots in use by partner "east" of share 1
+        Then calls of priority 2, 1, 2 and 0 are admitted in the order 0, 1, 2, 2
+
     Scenario: Waiting calls leave the queue when their deadline passes or their caller leaves
         Given an admission state with 4 slots in use by partner "east" of share 1
         Then expired and cancelled calls are removed and the others stay
--- /dev/null
+++ b/packages/core/features/steps/overload.ts
@@ -0,0 +1,132 @@
+import { Then, When } from "@cucumber/cucumber";
+import {
+    admitNext,
+    capacitiesOf,
+    createServiceAdmission,
+    releaseSlot,
+    removeExpired,
+    requestAdmission,
+    type BackendServer,
+    type Service,
+    type ServiceAdmission,
+    type WaitingCall,
+} from "@tanagertray/core";
+import assert from "node:assert/strict";
+import { seeded } from "../support/seeded.js";
+
+interface World {
+    load: Load;
+    state: ServiceAdmission;
+}
+
+interface Load {
+    readonly rate: number;
+    readonly forMs: number;
+    readonly objectiveMs: number;
+    readonly deadlineMs: number;
+}
+
+const slots = 18;
+const meanWorkMs = 120;
+const partner = "p";
+const service: Service = { kind: "service", name: "s", slots, connections: 130, drainMs: 0, coldStartMs: 0 };
+const server: BackendServer = {
+    id: "b",
+    service: "s",
+    address: "127.0.0.1:80",
+    incarnation: 1,
+    counter: 1,
+    state: "serving",
+    announcedAt: Number.MAX_SAFE_INTEGER,
+    firstSeenAt: 0,
+};
+const capacities = capacitiesOf(service, [server], 0);
+
+interface Running {
+    readonly call: WaitingCall;
+    readonly startedAt: number;
+    readonly endsAt: number;
+}
+
+/** Replays a load in virtual time and returns the share of the calls that were answered within the objective. */
+function shareInTime(load: Load, hasObjective: boolean): number {
+    const random = seeded(11);
+    const state = createServiceAdmission();
+    const running: Running[] = [];
+    const arrivedAt = new Map<string, number>();
+    let calls = 0;
+    let inTime = 0;
+
+    function start(call: WaitingCall, at: number): void {
+        const workMs = meanWorkMs * (0.3 + 1.4 * random());
+        running.push({ call, startedAt: at, endsAt: at + workMs });
+    }
+
+    function finish(at: number): void {
+        for (const done of running.filter(({ endsAt }) => endsAt <= at)) {
+            running.splice(running.indexOf(done), 1);
+            const tookMs = done.endsAt - (arrivedAt.get(done.call.callId) ?? 0);
+            inTime += tookMs <= load.objectiveMs ? 1 : 0;
+            releaseSlot(state, partner, server.id, done.endsAt - done.startedAt);
+        }
+        removeExpired(state, at);
+        for (let next = admitNext(state, capacities); next !== undefined;) {
+            start(next.call, at);
+            next = admitNext(state, capacities);
+        }
+    }
+
+    const perMs = (slots / meanWorkMs) * load.rate;
+    for (let at = 0; at < load.forMs; at += 1) {
+        finish(at);
+        for (let due = perMs; due > random(); due -= 1) {
+            calls += 1;
+            const callId = `c${calls}`;
+            arrivedAt.set(callId, at);
+            const objective = hasObjective ? { objective: at + load.objectiveMs } : {};
+            const call = { callId, partner, share: 1, deadline: at + load.deadlineMs, ...objective };
+            if (requestAdmission(state, call, capacities, at).kind === "admitted") {
+                start(call, at);
+            }
+        }
+    }
+    return inTime / calls;
+}
+
+When(
+    "{int}% of the capacity arrive for {int} s with an objective of {int} ms and a deadline of {int} ms",
+    function (this: World, percent: number, seconds: number, objectiveMs: number, deadlineMs: number) {
+        this.load = { rate: percent / 100, forMs: seconds * 1_000, objectiveMs, deadlineMs };
+    },
+);
+
+Then(
+    "at least {int}% of all calls are answered within the objective",
+    function (this: World, percent: number) {
+        const share = shareInTime(this.load, true);
+        assert.ok(share >= percent / 100, `${share} were in time`);
+    },
+);
+
+Then("without the objective less than {int}% are", function (this: World, percent: number) {
+    const share = shareInTime(this.load, false);
+    assert.ok(share < percent / 100, `${share} were in time`);
+});
+
+Then("calls of priority 2, 1, 2 and 0 are admitted in the order 0, 1, 2, 2", function (this: World) {
+    const waiting = [2, 1, 2, 0].map((priority, at) => ({
+        callId: `w${at}`,
+        partner: "east",
+        share: 1,
+        deadline: 1_010_000,
+        priority,
+    }));
+    const full = capacitiesOf(service, [{ ...server, id: "b1", slots: 4 }], 0);
+    waiting.forEach(call => assert.equal(requestAdmission(this.state, call, full, 1_000_000).kind, "queued"));
+    const order: number[] = [];
+    const free = capacitiesOf(service, [{ ...server, id: "b2" }], 0);
+    for (let next = admitNext(this.state, free); next !== undefined; next = admitNext(this.state, free)) {
+        order.push((next.call as (typeof waiting)[number]).priority);
+    }
+    assert.deepEqual(order, [0, 1, 2, 2]);
+});
--- a/packages/core/features/steps/routing.ts
+++ b/packages/core/features/steps/routing.ts
@@ -19,6 +19,7 @@
     type Target,
 } from "@tanagertray/core";
 import assert from "node:assert/strict";
+import { seeded } from "../support/seeded.js";
 
 interface World {
     records: HostRecord[];
@@ -30,15 +31,6 @@
 const now = 1_000_000;
 const self = { host: "a1", failureDomain: "a", region: "r1" };
 
-/** Linear congruential generator, so that a failing choice can be repeated. */
-function seeded(seed: number): () => number {
-    let state = seed;
-    return () => {
-        state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
-        return state / 2 ** 32;
-    };
-}
-
 function recordOf(
     host: string,
     failureDomain: string,
--- a/packages/core/src/admission/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -12,7 +12,9 @@
 /** Calls of one service differ by a factor of ten; 20 calls tell a fast backend server from a slow one. */
 const typicalTimeWeight = 0.05;
 /**
- * Share of the time that a call has left which it may spend waiting for a slot. When it may wait for
+ * Share of the time that a call has left until its objective, or until its deadline without one, which it may spend
+ * waiting for a slot. Beyond the objective a queue only makes every call behind it late: with a queue up to the
+ * deadline, 73% of the reads of an overloaded service were late, and the backend servers did no more work for it. When it may wait for
  * all of it, a queue of calls that run into their deadline stands in front of 12 slots, and 1% of the
  * calls are started in vain.
  */
@@ -24,6 +26,16 @@
     readonly share: number;
     /** Milliseconds since the epoch. */
     readonly deadline: number;
+    /**
+     * Instant until which an answer has its full worth, in milliseconds since the epoch.
+     * @default deadline
+     */
+    readonly objective?: number;
+    /**
+     * Rank of the call; 0 is the most urgent.
+     * @default 0
+     */
+    readonly priority?: number;
 }
 
 export interface PartnerUse {
@@ -110,7 +122,7 @@
         return { kind: AdmissionKind.Admitted, server };
     }
     const waitMs = expectedWaitMs(state, call, capacities);
-    if (waitMs > maxWaitShare * (call.deadline - now)) {
+    if (waitMs > maxWaitShare * (Math.min(call.objective ?? call.deadline, call.deadline) - now)) {
         return refuse(RefusalReason.WaitTooLong, waitMs);
     }
     return enqueue(state, call, waitMs);
@@ -119,7 +131,7 @@
 function enqueue(state: ServiceAdmission, call: WaitingCall, waitMs: number): AdmissionDecision {
     const use = useOf(state, call.partner);
     if (state.queued < maxQueuedCalls) {
-        use.queue.push(call);
+        insertByPriority(use.queue, call);
         state.queued += 1;
         return { kind: AdmissionKind.Queued };
     }
@@ -128,10 +140,20 @@
         return refuse(RefusalReason.OverShare, waitMs);
     }
     const dropped = largest.queue.pop();
-    use.queue.push(call);
+    insertByPriority(use.queue, call);
     return { kind: AdmissionKind.Queued, ...(dropped === undefined ? {} : { dropped }) };
 }
 
+/** The most urgent calls stand first, and those of one rank in the order of their arrival. */
+function insertByPriority(queue: WaitingCall[], call: WaitingCall): void {
+    const behind = queue.findIndex(other => priorityOf(other) > priorityOf(call));
+    queue.splice(behind < 0 ? queue.length : behind, 0, call);
+}
+
+function priorityOf({ priority = 0 }: WaitingCall): number {
+    return priority;
+}
+
 /** Waiting calls of a partner, relative to its share. */
 function heldBy(use: PartnerUse): number {
     return use.queue.length / (use.queue[0]?.share ?? 1);
@@ -230,10 +252,12 @@
  */
 function expectedWaitMs(state: ServiceAdmission, call: WaitingCall, capacities: readonly Capacity[]): number {
     const slots = capacities.reduce((sum, capacity) => sum + capacity.slots, 0);
-    const turns = ((state.partners.get(call.partner)?.queue.length ?? 0) + 1) / call.share;
+    const own = state.partners.get(call.partner)?.queue ?? [];
+    const before = own.filter(other => priorityOf(other) <= priorityOf(call)).length;
+    const turns = (before + 1) / call.share;
     let ahead = 0;
-    for (const { queue } of state.partners.values()) {
-        ahead += Math.min(queue.length, turns * (queue[0]?.share ?? 1));
+    for (const [partner, { queue }] of state.partners) {
+        ahead += partner === call.partner ? before : Math.min(queue.length, turns * (queue[0]?.share ?? 1));
     }
     return ((ahead + 1) * state.serviceMs) / slots;
 }
--- a/packages/core/src/answers/answers.ts
+++ b/packages/core/src/answers/answers.ts
@@ -1,3 +1,5 @@
+import type { Repetition } from "../configuration/resource.js";
+
 /** The questionnaire as an operator fills it in, and the same with every default resolved. */
 
 export interface Answers {
@@ -5,6 +7,52 @@
     partners?: Record<string, PartnerAnswers>;
     services: Record<string, ServiceAnswers>;
     callers: Record<string, CallerAnswers>;
+    /** Routes by host name and path prefix, beside `/<service>/<path>`. */
+    routes?: Record<string, RouteAnswers>;
+    limits?: LimitAnswers;
+}
+
+export interface RouteAnswers {
+    /** Host name that callers use, without a port. */
+    hostName: string;
+    /** Beginning of the paths; begins and ends with a slash. The longest prefix counts. */
+    prefix: string;
+    /** Weight of each service that gets calls of the route. */
+    destinations: Record<string, number>;
+    /** How often a call may run. */
+    repetition: Repetition;
+    /**
+     * Backend servers to which one call may be sent.
+     * @default 2
+     */
+    maxAttempts?: number;
+    /**
+     * Time in milliseconds after which a call is answered in any case.
+     * @default 5000
+     */
+    timeoutMs?: number;
+    /**
+     * Time in milliseconds within which an answer has its full worth.
+     * @default timeoutMs
+     */
+    latencyObjectiveMs?: number;
+    /**
+     * Rank of the calls when a backend server is busy; 0 is the most urgent.
+     * @default 0
+     */
+    priority?: number;
+}
+
+/** What callers' connections may send, and how long they may stay idle. */
+export interface LimitAnswers {
+    /** @default 16384 */
+    maxHeaderBytes?: number;
+    /** @default 1048576 */
+    maxBodyBytes?: number;
+    /** @default 10000 */
+    headerTimeoutMs?: number;
+    /** @default 5000 */
+    idleTimeoutMs?: number;
 }
 
 export interface PartnerAnswers {
@@ -67,6 +115,8 @@
     readonly partners: Readonly<Record<string, Required<PartnerAnswers>>>;
     readonly services: Readonly<Record<string, ResolvedServiceAnswers>>;
     readonly callers: Readonly<Record<string, CallerAnswers>>;
+    readonly routes: Readonly<Record<string, Required<RouteAnswers>>>;
+    readonly limits: Required<LimitAnswers> | undefined;
 }
 
 export interface ResolvedServiceAnswers extends Required<Omit<ServiceAnswers, "operations" | "healthPath">> {
--- a/packages/core/src/answers/answersRule.ts
+++ b/packages/core/src/answers/answersRule.ts
@@ -1,16 +1,25 @@
 import { RuleKind, type Rule } from "../checking/rule.js";
+import { Repetition } from "../configuration/resource.js";
+import { defaultLimits } from "../constants.js";
 import {
     maxCallers,
     maxColdStartMs,
     maxConnections,
     maxDeadlineMs,
+    maxDestinations,
     maxDrainSeconds,
+    maxHostNameLength,
     maxOperationBodyBytes,
     maxOperations,
     maxPartners,
+    maxPrefixLength,
+    maxPriority,
+    maxRouteAttempts,
+    maxRoutes,
     maxServices,
     maxShare,
     maxSlots,
+    maxWeight,
     minShare,
 } from "./constants.js";
 
@@ -62,6 +71,38 @@
     optional: { partner: name, service: name },
 };
 
+const route: Rule = {
+    kind: RuleKind.Group,
+    required: {
+        hostName: { kind: RuleKind.Text, min: 1, max: maxHostNameLength },
+        prefix: { kind: RuleKind.Text, min: 1, max: maxPrefixLength },
+        destinations: {
+            kind: RuleKind.Map,
+            value: whole(0, maxWeight, ""),
+            min: 1,
+            max: maxDestinations,
+        },
+        repetition: { kind: RuleKind.Choice, values: Object.values(Repetition) },
+    },
+    optional: {
+        maxAttempts: whole(1, maxRouteAttempts, "backend servers"),
+        timeoutMs: whole(1, maxDeadlineMs, "milliseconds"),
+        latencyObjectiveMs: whole(1, maxDeadlineMs, "milliseconds"),
+        priority: whole(0, maxPriority, ""),
+    },
+};
+
+const limits: Rule = {
+    kind: RuleKind.Group,
+    required: {},
+    optional: {
+        maxHeaderBytes: whole(1, defaultLimits.maxHeaderBytes, "bytes"),
+        maxBodyBytes: whole(0, maxOperationBodyBytes, "bytes"),
+        headerTimeoutMs: whole(1, maxDeadlineMs, "milliseconds"),
+        idleTimeoutMs: whole(1, maxDeadlineMs, "milliseconds"),
+    },
+};
+
 /** What a filled-in questionnaire may contain, apart from its references. */
 export const answersRule: Rule = {
     kind: RuleKind.Group,
@@ -70,5 +111,9 @@
         services: { kind: RuleKind.Map, value: service, min: 1, max: maxServices },
         callers: { kind: RuleKind.Map, value: caller, min: 0, max: maxCallers },
     },
-    optional: { partners: { kind: RuleKind.Map, value: partner, min: 0, max: maxPartners } },
+    optional: {
+        partners: { kind: RuleKind.Map, value: partner, min: 0, max: maxPartners },
+        routes: { kind: RuleKind.Map, value: route, min: 0, max: maxRoutes },
+        limits,
+    },
 };
--- a/packages/core/src/answers/checkAnswers.ts
+++ b/packages/core/src/answers/checkAnswers.ts
@@ -32,6 +32,7 @@
         checkServices(answers, mistakes);
         checkPartners(answers, mistakes);
         checkCallers(answers, mistakes);
+        checkRoutes(answers, mistakes);
     }
     const found = mistakes.list();
     return found.length > 0 ? Left(found) : Right(answers as unknown as Answers);
@@ -96,6 +97,39 @@
     }
 }
 
+function checkRoutes(answers: Record<string, unknown>, mistakes: Mistakes): void {
+    const services = new Set(Object.keys(groupAt(answers, "services")));
+    const seen = new Map<string, string>();
+    for (const [name, route] of Object.entries(groupAt(answers, "routes"))) {
+        if (!isGroup(route)) {
+            continue;
+        }
+        const { hostName, prefix } = route;
+        const destinations = groupAt(route, "destinations");
+        const path: Path = ["routes", name];
+        Object.keys(destinations).forEach(service =>
+            checkReference(service, services, [...path, "destinations", service], "service", mistakes),
+        );
+        if (
+            Object.keys(destinations).length > 0 &&
+            Object.values(destinations).every(weight => weight === 0)
+        ) {
+            mistakes.add([...path, "destinations"], "every weight is 0", "give one service a weight above 0");
+        }
+        if (typeof prefix === "string" && !/^\/(?:[!-~]*\/)?$/.test(prefix)) {
+            const message = `${describeValue(prefix)} is no path that begins and ends with a slash`;
+            mistakes.add([...path, "prefix"], message, 'write a path such as "/items/"');
+        }
+        const selector = `${String(hostName).toLowerCase()}${String(prefix)}`;
+        const rival = seen.get(selector);
+        if (rival !== undefined) {
+            const message = `route "${rival}" has the same host name and prefix`;
+            mistakes.add([...path, "prefix"], message, "give each route its own host name or prefix");
+        }
+        seen.set(selector, name);
+    }
+}
+
 function checkReference(
     value: unknown,
     known: ReadonlySet<string>,
--- a/packages/core/src/answers/constants.ts
+++ b/packages/core/src/answers/constants.ts
@@ -13,3 +13,11 @@
 export const maxOperationBodyBytes = 68_719_476_736;
 export const minShare = 0.01;
 export const maxShare = 1_000;
+export const maxRoutes = 10_000;
+export const maxDestinations = 64;
+export const maxWeight = 1_000_000;
+export const maxRouteAttempts = 16;
+export const maxPriority = 100;
+/** RFC 1035, section 2.3.4. */
+export const maxHostNameLength = 253;
+export const maxPrefixLength = 1_024;
--- a/packages/core/src/answers/resolveAnswers.ts
+++ b/packages/core/src/answers/resolveAnswers.ts
@@ -2,7 +2,9 @@
     defaultColdStartMs,
     defaultDeadlineMs,
     defaultDrainSeconds,
+    defaultLimits,
     defaultMaxBodyBytes,
+    defaultRouteAttempts,
     defaultShare,
 } from "../constants.js";
 import type {
@@ -10,6 +12,7 @@
     OperationAnswers,
     ResolvedAnswers,
     ResolvedServiceAnswers,
+    RouteAnswers,
     ServiceAnswers,
 } from "./answers.js";
 
@@ -27,6 +30,19 @@
         partners: mapValues(answers.partners ?? {}, partner => ({ share: partner.share ?? defaultShare })),
         services: mapValues(answers.services, resolveService),
         callers: answers.callers,
+        routes: mapValues(answers.routes ?? {}, resolveRoute),
+        limits: answers.limits === undefined ? undefined : { ...defaultLimits, ...answers.limits },
+    };
+}
+
+function resolveRoute(route: RouteAnswers): Required<RouteAnswers> {
+    const timeoutMs = route.timeoutMs ?? defaultDeadlineMs;
+    return {
+        ...route,
+        timeoutMs,
+        maxAttempts: route.maxAttempts ?? defaultRouteAttempts,
+        latencyObjectiveMs: route.latencyObjectiveMs ?? timeoutMs,
+        priority: route.priority ?? 0,
     };
 }
 
--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -6,6 +6,15 @@
 export const defaultDeadlineMs = 5_000;
 export const defaultMaxBodyBytes = 1_048_576;
 
+export const defaultRouteAttempts = 2;
+/** The limits of the listeners themselves, in bytes and milliseconds. */
+export const defaultLimits = {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: defaultMaxBodyBytes,
+    headerTimeoutMs: 10_000,
+    idleTimeoutMs: 5_000,
+};
+
 /** Partner of the callers that belong to no partner. */
 export const internalPartner = "internal";
 
--- a/packages/core/src/generation/generateConfiguration.ts
+++ b/packages/core/src/generation/generateConfiguration.ts
@@ -1,8 +1,16 @@
-import type { ResolvedAnswers, ResolvedServiceAnswers } from "../answers/answers.js";
+import type { ResolvedAnswers, ResolvedServiceAnswers, RouteAnswers } from "../answers/answers.js";
 import { canonicalBytes, contentHash } from "../configuration/canonical.js";
 import type { Manifest, ManifestEntry, Parts } from "../configuration/manifest.js";
-import type { Caller, Partner, Resource, ResourceName, Route, Service } from "../configuration/resource.js";
-import { referencesOf, ResourceKind, resourceName } from "../configuration/resource.js";
+import type {
+    Caller,
+    Partner,
+    PathRoute,
+    Resource,
+    ResourceName,
+    Route,
+    Service,
+} from "../configuration/resource.js";
+import { callerLimitsName, referencesOf, ResourceKind, resourceName } from "../configuration/resource.js";
 import { defaultShare, internalPartner } from "../constants.js";
 
 export interface GeneratedConfiguration {
@@ -73,6 +81,10 @@
             generateService(name, service),
             generateRoute(name, service, answers),
         ]),
+        ...Object.entries(answers.routes).map(([name, route]) => generatePathRoute(name, route)),
+        ...(answers.limits === undefined
+            ? []
+            : [{ kind: ResourceKind.Limits, name: callerLimitsName, ...answers.limits }]),
     ];
     const named = resources.map(resource => [resourceName(resource.kind, resource.name), resource] as const);
     return new Map(named.sort(([a], [b]) => (a < b ? -1 : 1)));
@@ -118,6 +130,18 @@
     };
 }
 
+function generatePathRoute(name: string, { destinations, ...route }: Required<RouteAnswers>): PathRoute {
+    return {
+        kind: ResourceKind.PathRoute,
+        name,
+        ...route,
+        destinations: Object.entries(destinations).map(([service, weight]) => ({
+            service: resourceName(ResourceKind.Service, service),
+            weight,
+        })),
+    };
+}
+
 /** A route is needed where its callers enter and on the hosts of its own service. */
 function findNeeds(
     answers: ResolvedAnswers,
@@ -129,6 +153,12 @@
         const users = [service, ...callers.map(caller => caller.service ?? everyEntry)];
         addNeeds(resourceName(ResourceKind.Route, service), users, resources, needs);
     }
+    // Any host may be the entry of a path route, and its services need not know the route.
+    const everywhere = [everyEntry, ...Object.keys(answers.services)];
+    for (const route of Object.keys(answers.routes)) {
+        addNeeds(resourceName(ResourceKind.PathRoute, route), everywhere, resources, needs);
+    }
+    addNeeds(resourceName(ResourceKind.Limits, callerLimitsName), everywhere, resources, needs);
     return new Map([...needs].map(([name, users]) => [name, [...users].sort()]));
 }
 
--- a/packages/core/src/routing/pathMatch.ts
+++ b/packages/core/src/routing/pathMatch.ts
@@ -47,7 +47,23 @@
     const service = resources.get(chosen?.service ?? "") as Service | undefined;
     return route === undefined || service === undefined
         ? Left(refusal(RefusalReason.NoRoute))
-        : Right(matchedBy(route, service, { caller: call.caller, limits: callerLimits(resources) }));
+        : Right(matchOnce(resources, route, service, call.caller));
+}
+
+/** What follows from the configuration is the same for all calls of a route, service and caller. */
+const matches = new WeakMap<Resources, Map<string, MatchedCall>>();
+/** Matches that are kept for one configuration; the callers of a host are few. */
+const maxMatches = 16_384;
+
+function matchOnce(resources: Resources, route: PathRoute, service: Service, caller: string): MatchedCall {
+    const known = matches.get(resources) ?? new Map<string, MatchedCall>();
+    matches.set(resources, known);
+    const key = `${route.name} ${service.name} ${caller}`;
+    const matched = known.get(key) ?? matchedBy(route, service, { caller, limits: callerLimits(resources) });
+    if (known.size < maxMatches) {
+        known.set(key, matched);
+    }
+    return matched;
 }
 
 /** Limits of callers' connections, when the configuration has any. */
--- a/packages/daemon/src/adapters/calls/admissions.ts
+++ b/packages/daemon/src/adapters/calls/admissions.ts
@@ -23,6 +23,7 @@
 } from "@tanagertray/core";
 import { Left, Right, type Either } from "purify-ts/Either";
 import type { Board } from "../../board.js";
+import type { Cancellation } from "./cancellation.js";
 
 /** The right to use one slot of a backend server. */
 export interface Slot {
@@ -33,7 +34,7 @@
 
 export interface Admissions {
     /** Waits for a slot. The control is aborted when the backend server has drained for as long as it may. */
-    acquire(service: Service, call: WaitingCall, control: AbortController): Promise<Either<Refusal, Slot>>;
+    acquire(service: Service, call: WaitingCall, control: Cancellation): Promise<Either<Refusal, Slot>>;
     /** Load of the service on this host, from 0 to 1. */
     load(service: Service): number;
     report(service: Service): CapacityReport | undefined;
@@ -50,7 +51,7 @@
     readonly now: () => number;
     readonly states: Map<string, ServiceAdmission>;
     readonly waiting: Map<WaitingCall, (outcome: Either<Refusal, BackendServer>) => void>;
-    readonly held: Map<Slot, { readonly control: AbortController; readonly service: string }>;
+    readonly held: Map<Slot, { readonly control: Cancellation; readonly service: string }>;
     readonly avoidedUntil: Map<string, number>;
 }
 
@@ -104,7 +105,7 @@
     service: string,
     call: WaitingCall,
     server: BackendServer,
-    control: AbortController,
+    control: Cancellation,
 ): Slot {
     const { now, held, avoidedUntil } = admitting;
     const takenAt = now();
@@ -147,7 +148,7 @@
     waiting.delete(call);
 }
 
-function acquire(admitting: Admitting, service: Service, call: WaitingCall, control: AbortController) {
+function acquire(admitting: Admitting, service: Service, call: WaitingCall, control: Cancellation) {
     const state = stateOf(admitting, service.name);
     const decision = requestAdmission(state, call, capacities(admitting, service), admitting.now());
     const take = (server: BackendServer) => createSlot(admitting, service.name, call, server, control);
@@ -157,7 +158,7 @@
             [AdmissionKind.Refused]: (refused: { refusal: Refusal }) => resolve(Left(refused.refusal)),
             [AdmissionKind.Queued]: ({ dropped }: { dropped?: WaitingCall }) => {
                 admitting.waiting.set(call, outcome => resolve(outcome.map(take)));
-                control.signal.addEventListener("abort", () => leave(admitting, state, call), { once: true });
+                control.onCancel(() => leave(admitting, state, call));
                 if (dropped !== undefined) {
                     answer(admitting, dropped, Left(refusal(RefusalReason.OverShare)));
                 }
@@ -190,7 +191,7 @@
             server?.incarnation === slot.server.incarnation &&
             now() - (server.drainingSince ?? Infinity) > drainMs
         ) {
-            control.abort(drainLimitReached);
+            control.cancel(drainLimitReached);
         }
     }
 }
--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -18,12 +18,14 @@
     type Refusal,
     type Selection,
 } from "@tanagertray/core";
+import type { Cancellation } from "./cancellation.js";
 import { capacityHeader, decodeCapacity } from "./capacityHeader.js";
 import { bodySilenceMs, hopConnections, hopSilenceMs } from "./constants.js";
 import type { CallContext } from "./context.js";
 import { UnknownCause } from "./dialect.js";
 import { exchange, ExchangeEnd, type ExchangeResult, type ResponseSink } from "./exchange.js";
 import { headerValue } from "./headers.js";
+import { heldVersion } from "../../controllers/advertisement.js";
 import { routeHeader } from "./hopRoute.js";
 import { signHop } from "./hopToken.js";
 import { callerLeft, type IncomingCall } from "./incoming.js";
@@ -40,7 +42,7 @@
     readonly selection: Selection;
     readonly body: BodyAttempt;
     readonly traceparent: string;
-    readonly control: AbortController;
+    readonly control: Cancellation;
     readonly onHead: (status: number, rawHeaders: string[]) => ResponseSink;
 }
 
@@ -69,10 +71,13 @@
     const run = tier === Tier.OwnHost ? runOnOwnHost : runOnOtherHost;
     const outcome = await run(context, attempt, seen, noteHead);
     noteEnd(seen);
+    if (outcome.failure !== undefined) {
+        noteFailedAttempt(context, attempt, outcome, seen);
+    }
     if (outcome.refusal !== undefined && outcome.failure === AttemptFailure.Refused) {
         const { reason, retryAfterMs } = outcome.refusal;
         noteRefusal(seen, context.now(), { saturated: saysSaturated(reason), retryAfterMs });
-    } else if (outcome.failure !== undefined && attempt.control.signal.reason !== callerLeft) {
+    } else if (outcome.failure !== undefined && attempt.control.reason !== callerLeft) {
         noteFailure(seen, context.now());
         if (outcome.failure === AttemptFailure.NeverWritten) {
             // No connection could be opened, so the next calls would only spend the retry budget.
@@ -82,6 +87,30 @@
     return outcome;
 }
 
+/** Says why an attempt failed, with what the choice of its host was based on. */
+function noteFailedAttempt(
+    { telemetry, now, board }: CallContext,
+    { callId, attemptId, deadline, selection, call }: Attempt,
+    { failure, refusal: refused }: AttemptOutcome,
+    { report, inFlight }: HostObservation,
+): void {
+    telemetry.event("call.attemptFailed", "info", {
+        callId,
+        attemptId,
+        service: call.matched.service.name,
+        target: selection.target.host,
+        tier: selection.tier,
+        failure,
+        reason: refused?.reason,
+        leftMs: remainingMs(deadline, now()),
+        inFlight,
+        reportedCalls: report?.calls,
+        reportedSlots: report?.slots,
+        reportAgeMs: report === undefined ? undefined : now() - report.at,
+        version: heldVersion(board),
+    });
+}
+
 async function runOnOwnHost(
     context: CallContext,
     attempt: Attempt,
@@ -143,7 +172,7 @@
         resets: () => context.pools.resets(selection.target.address),
         headers: hopHeaders(context, attempt),
         body: body.chunks,
-        signal: attempt.control.signal,
+        cancellation: attempt.control,
         headSilenceMs: hopSilenceMs,
         bodySilenceMs,
         mayWrite: () => remainingMs(attempt.deadline, context.now()) > 0,
@@ -160,7 +189,6 @@
     if (refused !== undefined) {
         const { reason, retryAfterMs } = refused;
         const known = refusal(relayedReason(reason), retryAfterMs);
-        context.telemetry.event("call.attemptRefused", "debug", { host: selection.target.host, reason });
         return { failure: AttemptFailure.Refused, refusal: known, fateKnown: true };
     }
     return ofResult(result, false);
--- a/packages/daemon/src/adapters/calls/constants.ts
+++ b/packages/daemon/src/adapters/calls/constants.ts
@@ -27,7 +27,7 @@
 export const poolUnusedMs = 60_000;
 /** Gap between the clock's ticks of 100 ms above which the process counts as having stalled, in milliseconds. */
 export const stallMs = 500;
-/** Other hosts to which a call may be passed on when a host refuses it before its backend server, and one more. */
-export const maxRedirects = 3;
+/** Hosts that may be asked for a call before its backend server takes it; more only spread an overload. */
+export const maxRedirects = 2;
 /** Share of the calls that may be passed on so, and how many at once after a quiet time. */
 export const redirectLimits = { ratio: 0.5, burst: 20 };
--- a/packages/daemon/src/adapters/calls/context.ts
+++ b/packages/daemon/src/adapters/calls/context.ts
@@ -1,4 +1,5 @@
 import type { Board } from "../../board.js";
+import type { Cancellation } from "./cancellation.js";
 import type { Admissions } from "./admissions.js";
 import type { CallDialect } from "./dialect.js";
 import type { Fates } from "./fates.js";
@@ -23,5 +24,5 @@
     /** For attempts after one that a host refused before its backend server. */
     readonly redirectBudgets: RetryBudgets;
     /** Cancels of all calls in progress. */
-    readonly cancels: Set<AbortController>;
+    readonly cancels: Set<Cancellation>;
 }
--- a/packages/daemon/src/adapters/calls/createCalls.ts
+++ b/packages/daemon/src/adapters/calls/createCalls.ts
@@ -1,3 +1,4 @@
+import { callerLimits } from "@tanagertray/core";
 import type { IncomingMessage, RequestListener, ServerResponse } from "node:http";
 import type { Board } from "../../board.js";
 import type { Closeable } from "../../closeable.js";
@@ -91,7 +92,17 @@
     }
 
     const server = await openListener(board.read("settings").listen.calls, track(handleEntry));
+
+    function applyLimits(): void {
+        const limits = callerLimits(board.read("configuration").held?.resources ?? new Map());
+        if (limits !== undefined) {
+            server.keepAliveTimeout = limits.idleTimeoutMs;
+            server.headersTimeout = limits.headerTimeoutMs;
+        }
+    }
+
     const subscriptions = [
+        board.observe(["configuration"], applyLimits),
         board.observe(["clock"], () => context.pools.closeUnused()),
         board.observe(["targets", "backendServers"], retireGone),
     ];
@@ -102,7 +113,7 @@
         async close() {
             const timer = setTimeout(
                 () => {
-                    context.cancels.forEach(cancel => cancel.abort(stopped));
+                    context.cancels.forEach(cancel => cancel.cancel(stopped));
                     server.closeAllConnections();
                 },
                 drainLimitMs(board) - board.read("settings").shutdown.lingerMs,
--- a/packages/daemon/src/adapters/calls/exchange.ts
+++ b/packages/daemon/src/adapters/calls/exchange.ts
@@ -1,4 +1,5 @@
 import type { Dispatcher } from "undici";
+import type { Cancellation } from "./cancellation.js";
 
 export const ExchangeEnd = {
     Completed: "completed",
@@ -25,7 +26,7 @@
     readonly headers: string[];
     readonly body: AsyncIterable<Buffer> | null;
     /** Ends the exchange: the caller left, or the deadline passed. */
-    readonly signal: AbortSignal;
+    readonly cancellation: Cancellation;
     /** Silence before the response head, in milliseconds; 0 for no limit but the signal. */
     readonly headSilenceMs: number;
     readonly bodySilenceMs: number;
@@ -75,12 +76,12 @@
             resetsBefore: undefined,
             settled: false,
             timer: undefined,
-            cancel: () => fail(progress, options.signal.reason as Error),
+            cancel: () => fail(progress, options.cancellation.reason as Error),
         };
-        if (options.signal.aborted) {
+        if (options.cancellation.cancelled) {
             return progress.cancel();
         }
-        options.signal.addEventListener("abort", progress.cancel, { once: true });
+        options.cancellation.onCancel(progress.cancel);
         try {
             options.dispatcher.dispatch(requestOf(options), createHandler(progress));
         } catch (error) {
@@ -106,7 +107,7 @@
     }
     progress.settled = true;
     clearTimeout(progress.timer);
-    progress.options.signal.removeEventListener("abort", progress.cancel);
+    progress.options.cancellation.offCancel(progress.cancel);
     progress.resolve({ end, silent: error === silence, ...(error === undefined ? {} : { error }) });
 }
 
--- a/packages/daemon/src/adapters/calls/handleEntry.ts
+++ b/packages/daemon/src/adapters/calls/handleEntry.ts
@@ -18,6 +18,7 @@
 } from "@tanagertray/core";
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Cancellation } from "./cancellation.js";
 import { makeAttempt, type AttemptOutcome } from "./attempt.js";
 import { fateWaitMs, maxRedirects } from "./constants.js";
 import type { CallContext } from "./context.js";
@@ -51,7 +52,7 @@
     readonly callId: string;
     readonly deadline: number;
     readonly body: RequestBody;
-    readonly control: AbortController;
+    readonly control: Cancellation;
     readonly response: ServerResponse;
     readonly traceparent: string;
     readonly excluded: Set<string>;
@@ -109,7 +110,7 @@
     context.retryBudgets.noteCall(service.name);
     context.redirectBudgets.noteCall(service.name);
     if (call.head.hasBody && call.head.declaredBytes === undefined) {
-        await entry.body.countSmall(cancel.control.signal);
+        await entry.body.countSmall(cancel.control);
     }
     const result = await carry(context, entry);
     cancel.close();
@@ -124,7 +125,8 @@
         result,
         retries,
     });
-    telemetry.event("call.finished", result === CallResult.Completed ? "debug" : "info", {
+    const isServed = result === CallResult.Completed;
+    telemetry.event(isServed ? "call.finished" : "call.unserved", isServed ? "debug" : "info", {
         callId: entry.callId,
         service: service.name,
         route: operation.name,
@@ -148,7 +150,7 @@
 async function carry(context: CallContext, entry: EntryCall): Promise<CallResult> {
     for (;;) {
         const selection = select(context, entry);
-        if (selection === undefined || entry.control.signal.aborted || entry.body.tooLarge()) {
+        if (selection === undefined || entry.control.cancelled || entry.body.tooLarge()) {
             return finish(context, entry);
         }
         entry.excluded.add(selection.target.host);
@@ -272,7 +274,7 @@
     if (outcome.failure === AttemptFailure.Refused && isFinalRefusal(outcome.refusal?.reason ?? "")) {
         return NextStep.SayNotRun;
     }
-    if (outcome.failure !== AttemptFailure.Lost || entry.control.signal.reason === callerLeft) {
+    if (outcome.failure !== AttemptFailure.Lost || entry.control.reason === callerLeft) {
         return step;
     }
     if (step === NextStep.AskFate) {
@@ -292,14 +294,14 @@
 /** Answers a call that no backend server answered. */
 function finish({ dialect }: CallContext, entry: EntryCall): CallResult {
     if (entry.mayHaveRun) {
-        const isLate = entry.control.signal.reason === deadlinePassed;
+        const isLate = entry.control.reason === deadlinePassed;
         const cause = isLate ? UnknownCause.DeadlinePassed : UnknownCause.Lost;
         sendOwn(entry.response, dialect.unknown(cause));
         return CallResult.Unknown;
     }
     const refused = entry.body.tooLarge()
         ? refusal(RefusalReason.TooLarge)
-        : entry.control.signal.aborted
+        : entry.control.cancelled
           ? refusal(RefusalReason.DeadlinePassed)
           : (entry.lastRefusal ?? refusal(RefusalReason.NoTarget));
     entry.lastRefusal = refused;
--- a/packages/daemon/src/adapters/calls/headers.ts
+++ b/packages/daemon/src/adapters/calls/headers.ts
@@ -40,15 +40,18 @@
 /** Checks the headers of a request (RFC 9112, section 6) and separates what may be passed on. */
 export function readRequestHead(raw: readonly string[], rules: HeaderRules): Either<Refusal, RequestHead> {
     const entries = pairs(raw);
-    const count = new Map<string, number>();
-    entries.forEach(([name]) => count.set(name, (count.get(name) ?? 0) + 1));
-    const byName = new Map(entries);
+    const byName = new Map<string, string>();
+    let repeatsSingle = false;
+    for (const [name, value] of entries) {
+        repeatsSingle ||= byName.has(name) && single.test(name);
+        byName.set(name, value);
+    }
     const nominated = nominatedNames(entries);
     const length = byName.get("content-length");
     const encoding = byName.get("transfer-encoding");
     if (
         entries.length > maxHeaders ||
-        [...count].some(([name, times]) => times > 1 && single.test(name)) ||
+        repeatsSingle ||
         [...nominated].some(name => neverNominated.test(name)) ||
         (length !== undefined && (encoding !== undefined || !/^\d{1,15}$/.test(length))) ||
         (encoding !== undefined && encoding.toLowerCase() !== "chunked")
@@ -90,9 +93,17 @@
     return hopByHop.has(name) || nominated.has(name) || name.startsWith(ownPrefix) || name === "traceparent";
 }
 
+const nothingNominated: ReadonlySet<string> = new Set();
+
 function nominatedNames(entries: readonly [string, string][]): ReadonlySet<string> {
-    const values = entries.filter(([name]) => name === "connection").map(([, value]) => value);
-    return new Set(values.flatMap(value => value.split(",").map(part => part.trim().toLowerCase())));
+    let names = nothingNominated;
+    for (const [name, value] of entries) {
+        // Nearly every `connection` header only says these, which are dropped anyway.
+        if (name === "connection" && value !== "keep-alive" && value !== "close") {
+            names = new Set([...names, ...value.split(",").map(part => part.trim().toLowerCase())]);
+        }
+    }
+    return names;
 }
 
 function pairs(raw: readonly string[]): [string, string][] {
--- a/packages/daemon/src/adapters/calls/hopRoute.ts
+++ b/packages/daemon/src/adapters/calls/hopRoute.ts
@@ -22,7 +22,16 @@
     readonly latencyObjectiveMs: number;
 }
 
-export function encodeRoute({ service, operation, priority, latencyObjectiveMs }: MatchedCall): string {
+/** Routes of calls are shared by all calls of a configuration, so each is encoded once. */
+const encoded = new WeakMap<MatchedCall, string>();
+
+export function encodeRoute(matched: MatchedCall): string {
+    const header = encoded.get(matched) ?? encodeClaim(matched);
+    encoded.set(matched, header);
+    return header;
+}
+
+function encodeClaim({ service, operation, priority, latencyObjectiveMs }: MatchedCall): string {
     const { name, repeatable } = operation;
     const claim: RouteClaim = {
         service: service.name,
@@ -34,8 +43,24 @@
     return encodeURIComponent(JSON.stringify(claim));
 }
 
+/** Headers that were decoded last; hosts repeat those of their few hundred routes. */
+const maxDecoded = 4_096;
+const decoded = new WeakMap<object, Map<string, MatchedCall>>();
+
 /** Decodes the header; `undefined` when it is not valid. */
 export function decodeRoute(board: Board, header: string, caller: string): MatchedCall | undefined {
+    const held = board.read("configuration");
+    const known = decoded.get(held) ?? new Map<string, MatchedCall>();
+    decoded.set(held, known);
+    const key = `${caller} ${header}`;
+    const matched = known.get(key) ?? decodeClaim(board, header, caller);
+    if (matched !== undefined && known.size < maxDecoded) {
+        known.set(key, matched);
+    }
+    return matched;
+}
+
+function decodeClaim(board: Board, header: string, caller: string): MatchedCall | undefined {
     const claim = parseClaim(header);
     if (claim === undefined) {
         return undefined;
--- a/packages/daemon/src/adapters/calls/incoming.ts
+++ b/packages/daemon/src/adapters/calls/incoming.ts
@@ -11,6 +11,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Left, Right, type Either } from "purify-ts/Either";
 import type { Board } from "../../board.js";
+import { createCancellation, type Cancellation } from "./cancellation.js";
 import { maxCallsInProgress, stallMs } from "./constants.js";
 import type { CallContext } from "./context.js";
 import type { DialectMatch } from "./dialect.js";
@@ -150,10 +151,15 @@
     context: CallContext,
     response: ServerResponse,
     deadline: number,
-): { readonly control: AbortController; close(): void } {
-    const control = new AbortController();
-    const timer = setTimeout(() => control.abort(deadlinePassed), Math.max(0, deadline - context.now()));
-    const leave = () => control.abort(callerLeft);
+): { readonly control: Cancellation; close(): void } {
+    const control = createCancellation();
+    const timer = setTimeout(() => control.cancel(deadlinePassed), Math.max(0, deadline - context.now()));
+    const leave = () => {
+        // A response that was sent whole closes too.
+        if (!response.writableFinished) {
+            control.cancel(callerLeft);
+        }
+    };
     response.once("close", leave);
     context.cancels.add(control);
     return {
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -1,5 +1,6 @@
 import { refusal, RefusalReason, remainingMs, type MatchedCall, type Refusal } from "@tanagertray/core";
 import { Left, Right, type Either } from "purify-ts/Either";
+import type { Cancellation } from "./cancellation.js";
 import { bodySilenceMs, maxQueueMs } from "./constants.js";
 import type { CallContext } from "./context.js";
 import { Verdict } from "./dialect.js";
@@ -21,7 +22,7 @@
     readonly headers: readonly string[];
     readonly traceparent: string;
     readonly body: BodyAttempt;
-    readonly control: AbortController;
+    readonly control: Cancellation;
     /** The call is about to be written to a backend server. */
     readonly onAdmitted: () => void;
     readonly onHead: (status: number, rawHeaders: string[]) => ResponseSink;
@@ -34,7 +35,9 @@
 ): Promise<Either<Refusal, ExchangeResult>> {
     const { service, partner, share } = call.matched;
     const waitUntil = Math.min(call.deadline, context.now() + maxQueueMs);
-    const waiting = { callId: call.attemptId, partner, share, deadline: waitUntil };
+    const { priority, latencyObjectiveMs } = call.matched;
+    const objective = context.now() + latencyObjectiveMs;
+    const waiting = { callId: call.attemptId, partner, share, priority, objective, deadline: waitUntil };
     const admitted = await context.admissions.acquire(service, waiting, call.control);
     if (admitted.isLeft()) {
         return Left(admitted.extract() as Refusal);
@@ -46,7 +49,7 @@
 
     function mayWrite(): boolean {
         const leftMs = remainingMs(call.deadline, context.now());
-        if (leftMs === 0 || call.control.signal.aborted) {
+        if (leftMs === 0 || call.control.cancelled) {
             refused = refusal(RefusalReason.DeadlinePassed);
             return false;
         }
@@ -74,7 +77,7 @@
             }),
         ],
         body: call.body.chunks,
-        signal: call.control.signal,
+        cancellation: call.control,
         headSilenceMs: 0,
         bodySilenceMs,
         mayWrite,
@@ -96,9 +99,9 @@
     }
     const neverConnected =
         result.end === ExchangeEnd.NeverWritten && refused.reason === RefusalReason.Unreachable;
-    slot.release({ reachable: call.control.signal.aborted || !neverConnected });
+    slot.release({ reachable: call.control.cancelled || !neverConnected });
     if (result.end === ExchangeEnd.NeverWritten) {
-        return Left(call.control.signal.aborted ? refusal(RefusalReason.DeadlinePassed) : refused);
+        return Left(call.control.cancelled ? refusal(RefusalReason.DeadlinePassed) : refused);
     }
     if (refusedByServer !== undefined) {
         const { reason, retryAfterMs } = refusedByServer;
--- a/packages/daemon/src/adapters/calls/requestBody.ts
+++ b/packages/daemon/src/adapters/calls/requestBody.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import type { Cancellation } from "./cancellation.js";
 import { keptBodyBytes } from "./constants.js";
 
 /** A request body that can be sent again from its first byte until it was committed. */
@@ -6,7 +7,7 @@
     /** Starts an attempt to send the body, or gives null when there is none. */
     open(): BodyAttempt;
     /** Reads a body whose limit is at most `keptBodyBytes`, so that one above it is found before it is sent. */
-    countSmall(signal: AbortSignal): Promise<void>;
+    countSmall(cancellation: Cancellation): Promise<void>;
     replayable(): boolean;
     /** Whether more bytes came than the operation allows. */
     tooLarge(): boolean;
@@ -104,15 +105,13 @@
         };
     }
 
-    async function countSmall(signal: AbortSignal): Promise<void> {
+    async function countSmall(cancellation: Cancellation): Promise<void> {
         if (maxBytes > keptBodyBytes) {
             return;
         }
-        const aborted = new Promise<void>(resolve =>
-            signal.addEventListener("abort", () => resolve(), { once: true }),
-        );
+        const aborted = new Promise<void>(resolve => cancellation.onCancel(resolve));
         let failed = false;
-        while (!ended && !failed && !signal.aborted) {
+        while (!ended && !failed && !cancellation.cancelled) {
             // A read that fails shows up again when the body is sent.
             const read = pullMore().catch(() => void (failed = true));
             await Promise.race([read, aborted]);
--- a/packages/daemon/src/adapters/calls/telemetry.ts
+++ b/packages/daemon/src/adapters/calls/telemetry.ts
@@ -16,16 +16,14 @@
 
 const traceparentPattern = /^00-(?!0{32})([0-9a-f]{32})-(?!0{16})([0-9a-f]{16})-([0-9a-f]{2})$/;
 
-/** Digits that one random number gives. */
-const digitsPerNumber = 8;
+/** One random number gives eight digits; the base keeps the zeros in front of them. */
+const numberBase = 2 ** 32;
 
 /** Ids of traces need no secrecy, and a call of the system for each costs more than the rest of a span. */
 function randomHex(digits: number): string {
     let text = "";
     while (text.length < digits) {
-        text += Math.floor(Math.random() * 2 ** 32)
-            .toString(16)
-            .padStart(digitsPerNumber, "0");
+        text += (numberBase + Math.floor(Math.random() * numberBase)).toString(16).slice(1);
     }
     return text;
 }
--- a/packages/daemon/src/adapters/log.ts
+++ b/packages/daemon/src/adapters/log.ts
@@ -6,6 +6,16 @@
 
 /** Lines of one event name in a period; further ones are counted and left out. */
 const maxLinesPerPeriod = 10;
+/** The same for decisions on single calls: 20 a second, each of which explains one failed request. */
+const maxCallLinesPerPeriod = 200;
+const callEvents: ReadonlySet<string> = new Set([
+    "call.refused",
+    "call.unserved",
+    "call.attemptFailed",
+    "call.backendRefused",
+    "call.hopRefused",
+]);
+const levels: Readonly<Record<string, number>> = { error: 0, warn: 1, info: 2, debug: 3 };
 /** Period of the limit of lines, in milliseconds. */
 const limitPeriodMs = 10_000;
 /** Event names whose lines are limited apart; further ones share one limit. */
@@ -31,7 +41,7 @@
     const { host, log } = board.read("settings");
     const logger = winston.createLogger({
         level: log.level,
-        levels: { error: 0, warn: 1, info: 2, debug: 3 },
+        levels,
         format: winston.format.printf(({ level, message, fields }) => {
             const base = { time: new Date().toISOString(), level, event: message, host };
             return JSON.stringify({ ...base, ...(fields as Event["fields"]), ...base });
@@ -49,11 +59,17 @@
         logger.log({ level, message: name, fields: Object.fromEntries(shortened) });
     }
 
+    const shownLevel = levels[log.level] ?? 0;
+
     function take(event: Event): void {
+        if ((levels[event.level] ?? 0) > shownLevel) {
+            return;
+        }
         const name = limits.has(event.name) || limits.size < maxLimitedNames ? event.name : "other";
         const limit = limits.get(name) ?? { lines: 0, omitted: 0 };
         limits.set(name, limit);
-        if (unlimitedEvents.has(event.name) || limit.lines < maxLinesPerPeriod) {
+        const maxLines = callEvents.has(event.name) ? maxCallLinesPerPeriod : maxLinesPerPeriod;
+        if (unlimitedEvents.has(event.name) || limit.lines < maxLines) {
             limit.lines += 1;
             write(event);
         } else {
