--- a/eslint.config.js
+++ b/eslint.config.js
@@ -22,6 +22,7 @@
         },
     },
     { files: ["**/*.js"], rules: { "no-restricted-syntax": "off" } },
+    { files: ["**/*.cjs"], rules: { "@typescript-eslint/no-require-imports": "off" } },
     {
         files: ["scripts/bench/**/*.ts"],
         rules: {
--- a/packages/core/src/configuration/assemble.ts
+++ b/packages/core/src/configuration/assemble.ts
@@ -3,7 +3,7 @@
 import { contentHash } from "./canonical.js";
 import type { HeldConfiguration } from "./heldConfiguration.js";
 import type { Manifest, Parts } from "./manifest.js";
-import { referencesOf, type Resource, type ResourceName } from "./resource.js";
+import { referencesOf, resourceName, type Resource, type ResourceName } from "./resource.js";
 import { readResource } from "./resourceChecks.js";
 
 export interface AssemblyOptions {
@@ -45,6 +45,9 @@
     readonly resource: Resource;
 }
 
+/** Parts that were found whole. Versions share all but a few of their parts, whose bytes never change. */
+const checkedParts = new WeakMap<Uint8Array, NeededPart>();
+
 function readPart(options: AssemblyOptions, name: ResourceName): Either<Problem, NeededPart> {
     const entry = options.manifest.entries[name];
     const where = `version ${options.manifest.version}`;
@@ -59,6 +62,10 @@
             problem(ProblemCode.NotFound, `part ${entry.hash} of resource "${name}" is missing`, { where }),
         );
     }
+    const known = checkedParts.get(bytes);
+    if (known?.hash === entry.hash && resourceName(known.resource.kind, known.resource.name) === name) {
+        return Right(known);
+    }
     if (contentHash(bytes) !== entry.hash) {
         return Left(
             problem(ProblemCode.HashMismatch, `part of resource "${name}" does not match ${entry.hash}`, {
@@ -67,7 +74,11 @@
         );
     }
     return readResource(name, bytes)
-        .map(resource => ({ hash: entry.hash, bytes, resource }))
+        .map(resource => {
+            const part = { hash: entry.hash, bytes, resource };
+            checkedParts.set(bytes, part);
+            return part;
+        })
         .mapLeft(reason => ({ ...reason, where }));
 }
 
--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -173,6 +173,7 @@
         headers: hopHeaders(context, attempt),
         body: body.chunks,
         cancellation: attempt.control,
+        timers: context.timers,
         headSilenceMs: hopSilenceMs,
         bodySilenceMs,
         mayWrite: () => remainingMs(attempt.deadline, context.now()) > 0,
--- a/packages/daemon/src/adapters/calls/context.ts
+++ b/packages/daemon/src/adapters/calls/context.ts
@@ -7,6 +7,7 @@
 import type { Pools } from "./pools.js";
 import type { RetryBudgets } from "./retryBudgets.js";
 import type { Telemetry } from "./telemetry.js";
+import type { Timers } from "./timers.js";
 
 /** What the parts of the call adapter share. */
 export interface CallContext {
@@ -18,6 +19,7 @@
     readonly fates: Fates;
     readonly observations: Observations;
     readonly telemetry: Telemetry;
+    readonly timers: Timers;
     readonly dialect: CallDialect;
     /** For attempts after one that may have reached a backend server. */
     readonly retryBudgets: RetryBudgets;
--- a/packages/daemon/src/adapters/calls/createCalls.ts
+++ b/packages/daemon/src/adapters/calls/createCalls.ts
@@ -18,6 +18,7 @@
 import { createRetryBudgets } from "./retryBudgets.js";
 import { resetConnection } from "./responses.js";
 import { createTelemetry } from "./telemetry.js";
+import { createTimers } from "./timers.js";
 
 export interface CallsOptions {
     /**
@@ -62,6 +63,7 @@
         fates: createFates(board, now),
         observations: createObservations(board),
         telemetry: createTelemetry(board, now),
+        timers: createTimers(board, now),
         dialect,
         retryBudgets: createRetryBudgets(board.read("settings").retries),
         redirectBudgets: createRetryBudgets(redirectLimits),
@@ -126,7 +128,9 @@
             clearTimeout(timer);
             subscriptions.forEach(subscription => subscription.close());
             await context.pools.close();
-            [context.admissions, context.fates, context.observations].forEach(part => part.close());
+            [context.admissions, context.fates, context.observations, context.timers].forEach(part =>
+                part.close(),
+            );
         },
     };
 }
--- a/packages/daemon/src/adapters/calls/exchange.ts
+++ b/packages/daemon/src/adapters/calls/exchange.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher } from "undici";
 import type { Cancellation } from "./cancellation.js";
+import type { Timer, Timers } from "./timers.js";
 
 export const ExchangeEnd = {
     Completed: "completed",
@@ -27,6 +28,7 @@
     readonly body: AsyncIterable<Buffer> | null;
     /** Ends the exchange: the caller left, or the deadline passed. */
     readonly cancellation: Cancellation;
+    readonly timers: Timers;
     /** Silence before the response head, in milliseconds; 0 for no limit but the signal. */
     readonly headSilenceMs: number;
     readonly bodySilenceMs: number;
@@ -61,7 +63,7 @@
     /** Resets before the head, when only the end of the connection ends the response. */
     resetsBefore: number | undefined;
     settled: boolean;
-    timer: NodeJS.Timeout | undefined;
+    timer: Timer | undefined;
     cancel: () => void;
 }
 
@@ -106,7 +108,7 @@
         return;
     }
     progress.settled = true;
-    clearTimeout(progress.timer);
+    progress.timer?.cancel();
     progress.options.cancellation.offCancel(progress.cancel);
     progress.resolve({ end, silent: error === silence, ...(error === undefined ? {} : { error }) });
 }
@@ -126,9 +128,9 @@
 
 /** Gives the connection up when nothing is heard on it within the limit. */
 function watch(progress: Progress, limitMs: number): void {
-    clearTimeout(progress.timer);
+    progress.timer?.cancel();
     if (limitMs > 0) {
-        progress.timer = setTimeout(() => fail(progress, silence), limitMs);
+        progress.timer = progress.options.timers.after(limitMs, () => fail(progress, silence));
     }
 }
 
@@ -205,7 +207,7 @@
     const { bodySilenceMs } = progress.options;
     watch(progress, bodySilenceMs);
     if (!sink.write(chunk)) {
-        clearTimeout(progress.timer);
+        progress.timer?.cancel();
         started.pause();
         sink.onceWritable(() => {
             if (!progress.settled) {
--- a/packages/daemon/src/adapters/calls/handleHop.ts
+++ b/packages/daemon/src/adapters/calls/handleHop.ts
@@ -10,6 +10,7 @@
 import { verifyHop } from "./hopToken.js";
 import { checkAdmitting, deadlineOf, openCancel, readHopCall, type IncomingCall } from "./incoming.js";
 import { runLocally } from "./localCall.js";
+import type { Timer } from "./timers.js";
 import { answerNotRun, ownDialect } from "./ownDialect.js";
 import { createRequestBody } from "./requestBody.js";
 import { isRequestComplete, resetConnection, sendOwn, sinkTo } from "./responses.js";
@@ -55,7 +56,13 @@
     const body = createRequestBody(request, { hasBody: head.hasBody, maxBytes, repeatable: false }).open();
     // The entry daemon sends a longer body only once it knows that the call was admitted.
     const waitsForAdmission = head.hasBody && (head.declaredBytes ?? Infinity) > keptBodyBytes;
-    let progress: NodeJS.Timeout | undefined;
+    let progress: Timer | undefined;
+    const showProgress = () => {
+        progress = context.timers.after(progressMs, () => {
+            response.writeProcessing();
+            showProgress();
+        });
+    };
     const outcome = await runLocally(context, {
         matched,
         attemptId,
@@ -73,11 +80,11 @@
                 response.writeProcessing();
             }
             // Shows the entry daemon that the connection is not silent while the backend server works.
-            progress = setInterval(() => response.writeProcessing(), progressMs);
+            showProgress();
             body.commit();
         },
         onHead(status, raw) {
-            clearInterval(progress);
+            progress?.cancel();
             const load = String(Math.round(context.admissions.load(matched.service) * 1_000) / 1_000);
             const closes = context.board.read("shutdown").requested && isRequestComplete(response);
             const closing = closes ? ["connection", "close"] : [];
@@ -90,7 +97,7 @@
             return sinkTo(response);
         },
     });
-    clearInterval(progress);
+    progress?.cancel();
     body.close();
     cancel.close();
     if (!request.complete) {
--- a/packages/daemon/src/adapters/calls/incoming.ts
+++ b/packages/daemon/src/adapters/calls/incoming.ts
@@ -153,7 +153,9 @@
     deadline: number,
 ): { readonly control: Cancellation; close(): void } {
     const control = createCancellation();
-    const timer = setTimeout(() => control.cancel(deadlinePassed), Math.max(0, deadline - context.now()));
+    const timer = context.timers.after(Math.max(0, deadline - context.now()), () =>
+        control.cancel(deadlinePassed),
+    );
     const leave = () => {
         // A response that was sent whole closes too.
         if (!response.writableFinished) {
@@ -165,7 +167,7 @@
     return {
         control,
         close() {
-            clearTimeout(timer);
+            timer.cancel();
             response.off("close", leave);
             context.cancels.delete(control);
         },
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -78,6 +78,7 @@
         ],
         body: call.body.chunks,
         cancellation: call.control,
+        timers: context.timers,
         headSilenceMs: 0,
         bodySilenceMs,
         mayWrite,
