--- a/packages/core/features/steps/pathRoutes.ts
+++ b/packages/core/features/steps/pathRoutes.ts
@@ -200,7 +200,7 @@
 );
 
 /** Limits that the deployment's settings give each host. */
-const hostLimits = { ratio: 0.1, burst: 2 };
+const hostLimits = { ratio: 0.15, burst: 2 };
 const hosts = 24;
 const boundRatio = 0.2;
 const boundExtra = 64;
--- a/packages/core/src/calls/refusal.ts
+++ b/packages/core/src/calls/refusal.ts
@@ -47,6 +47,7 @@
     [RefusalReason.BackendRefused]: 200,
     [RefusalReason.BackendReplaced]: 200,
     [RefusalReason.Barred]: 200,
+    [RefusalReason.DeadlinePassed]: 200,
     [RefusalReason.QueueFull]: 300,
     [RefusalReason.NoBackendServer]: 300,
     [RefusalReason.NoTarget]: 500,
