fix(peers): hosts that left are dialled again; a call is not sent on in its last moment

A daemon that was stopped and started while the store was down was never found, because its peers dial hosts that failed but not hosts that left. A call whose deadline the hop saw first was answered 502, since deadlines now pass up to a tick of 100 ms apart. 70 backend servers of one start at one address replaced each other.

--- a/packages/daemon/src/adapters/calls/constants.ts
+++ b/packages/daemon/src/adapters/calls/constants.ts
@@ -34,3 +34,8 @@
 export const maxRedirects = 2;
 /** Share of the calls that may be passed on so, and how many at once after a quiet time. */
 export const redirectLimits = { ratio: 0.5, burst: 20 };
+/**
+ * Time below which a call is not sent again, in milliseconds. The daemon of the backend server counts the same deadline
+ * and may see it pass a tick of the clock before the entry daemon does.
+ */
+export const leastAttemptMs = 120;
--- a/packages/daemon/src/adapters/calls/handleEntry.ts
+++ b/packages/daemon/src/adapters/calls/handleEntry.ts
@@ -20,7 +20,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Cancellation } from "./cancellation.js";
 import { makeAttempt, type AttemptOutcome } from "./attempt.js";
-import { fateWaitMs, maxRedirects } from "./constants.js";
+import { fateWaitMs, leastAttemptMs, maxRedirects } from "./constants.js";
 import type { CallContext } from "./context.js";
 import { UnknownCause } from "./dialect.js";
 import { headerValue, outcomeHeader, responseHeaders } from "./headers.js";
@@ -168,7 +168,8 @@
             resetConnection(entry.response);
             return CallResult.Reset;
         }
-        if (step !== NextStep.Retry || !takeAnother(context, entry, outcome)) {
+        const isOver = remainingMs(entry.deadline, context.now()) < leastAttemptMs;
+        if (step !== NextStep.Retry || isOver || !takeAnother(context, entry, outcome)) {
             return finish(context, entry);
         }
         entry.retries += 1;
@@ -292,9 +293,10 @@
 }
 
 /** Answers a call that no backend server answered. */
-function finish({ dialect }: CallContext, entry: EntryCall): CallResult {
+function finish({ dialect, now }: CallContext, entry: EntryCall): CallResult {
     if (entry.mayHaveRun) {
-        const isLate = entry.control.reason === deadlinePassed;
+        const isOver = remainingMs(entry.deadline, now()) < leastAttemptMs;
+        const isLate = isOver || entry.control.reason === deadlinePassed;
         const cause = isLate ? UnknownCause.DeadlinePassed : UnknownCause.Lost;
         sendOwn(entry.response, dialect.unknown(cause));
         return CallResult.Unknown;
--- a/packages/daemon/src/adapters/peers/strays.ts
+++ b/packages/daemon/src/adapters/peers/strays.ts
@@ -1,4 +1,4 @@
-import { HostState, isLive } from "@tanagertray/core";
+import { isLive } from "@tanagertray/core";
 import type { Membership } from "../../board.js";
 
 /** Addresses that one domain relay tries beside those of its neighbours. */
@@ -6,8 +6,8 @@
 
 /**
  * Addresses at which hosts may be that nobody here has a link to: those that the rows of other failure domains name and
- * no live record does, and those of failed hosts of the own domain. A host that restarts while the platform is away
- * knows no address, so the others have to find it.
+ * no live record does, and those of hosts of the own domain that failed or left. A host that restarts while the platform
+ * is away knows no address, so the others have to find it.
  */
 export function findStrays(
     { self, records }: Membership,
@@ -23,10 +23,9 @@
         .filter(([domain]) => domain !== self.failureDomain)
         .flatMap(([, addresses]) => addresses)
         .filter(address => !live.has(address));
-    const failed = all
-        .filter(
-            ({ state, failureDomain }) => state === HostState.Failed && failureDomain === self.failureDomain,
-        )
-        .map(({ peerAddress }) => peerAddress);
-    return [...new Set([...unknown, ...failed])].slice(0, maxStrays);
+    const gone = all
+        .filter(record => !isLive(record) && record.failureDomain === self.failureDomain)
+        .map(({ peerAddress }) => peerAddress)
+        .filter(address => !live.has(address));
+    return [...new Set([...unknown, ...gone])].slice(0, maxStrays);
 }
--- a/packages/daemon/src/controllers/backendServers.ts
+++ b/packages/daemon/src/controllers/backendServers.ts
@@ -44,9 +44,10 @@
             return warn("backendServer.late", { id: announcement.id, address: announcement.address });
         }
         const server = merge(announcement, known, board.read("clock").now);
-        const others = [...current].filter(([id]) => !rivals.some(rival => rival.id === id));
+        const replaced = rivals.filter(({ incarnation }) => incarnation < announcement.incarnation);
+        const others = [...current].filter(([id]) => !replaced.some(rival => rival.id === id));
         servers.write(new Map(others).set(server.id, server));
-        rivals.forEach(({ id, service }) => warn("backendServer.replaced", { id, service, by: server.id }));
+        replaced.forEach(({ id, service }) => warn("backendServer.replaced", { id, service, by: server.id }));
         reportChange(server, known);
     }
 
