fix(peers): first links that are no neighbours' are closed after 5 s

Cause: a daemon at rest with 23 others held 21 links, most of them first links of the start, and sent a heartbeat on each of them every second. Change: such links close after 5 s instead of 30 s. Tried and not kept: Node's own HTTP client in place of undici for hops and backend servers.

--- a/packages/daemon/src/adapters/peers/constants.ts
+++ b/packages/daemon/src/adapters/peers/constants.ts
@@ -12,8 +12,8 @@
 export const joinJitterMs = 1_000;
 /** Links below which the addresses of the settings and of the domain row are tried too. */
 export const fewLinks = 2;
-/** Age at which a link that this host opened, and that is no neighbour, is closed. */
-export const unwantedLinkMs = 30_000;
+/** Age at which a link that this host opened, and that is no neighbour, is closed: time for a digest and its answer. */
+export const unwantedLinkMs = 5_000;
 export const maxLinks = 256;
 /** Handshakes in progress that others began. */
 export const maxPendingHandshakes = 64;
