fix(calls): a request counts as arrived when its socket was last polled

A daemon that is busy reads requests late, and both daemons of a call counted the deadline from the read; the clock's gap showed only stalls above 250 ms. Change: arrivals.ts follows the turns of the event loop, and deadlines count from the poll of the turn before or from the end of the loop's last wait. Heads of requests and answers are read in one pass, and a call without a body makes no reader for it. The new scenario fails without the change 3 of 3 times and passes 3 of 3 times with it. 127 scenarios of calls, call faults, links, membership, process and adapter pass.

--- a/packages/daemon/features/calls.feature
+++ b/packages/daemon/features/calls.feature
@@ -96,6 +96,13 @@
         When a call with a deadline of 300 ms waits in the socket of a daemon that is paused for 700 ms
         Then the call is refused as "deadlinePassed" and no backend server ran it
 
+    # Guards against calls that wait behind others in a busy daemon and are sent on after their callers have left.
+    @not-run-is-true
+    Scenario: A call whose deadline passed during one busy turn of the daemon is not sent
+        Given a call deployment of 1 hosts
+        When a call with a deadline of 80 ms waits in the socket of a daemon that is paused for 140 ms
+        Then the call is refused as "deadlinePassed" and no backend server ran it
+
     @graceful-shutdown
     Scenario: Calls in flight finish while the daemon drains, and new calls are refused as not run
         Given a call deployment of 1 hosts
--- a/packages/daemon/src/adapters/calls/constants.ts
+++ b/packages/daemon/src/adapters/calls/constants.ts
@@ -25,10 +25,7 @@
 export const connectTimeoutMs = 500;
 /** Pools are closed when unused for this time, in milliseconds. */
 export const poolUnusedMs = 60_000;
-/**
- * Gap between the clock's ticks of 100 ms above which the process counts as having stalled, in milliseconds. Calls that
- * waited meanwhile have used up their time, and their callers may have left: with 500 ms, 21 of them were sent on.
- */
+/** Gap between the clock's ticks of 100 ms above which the process counts as having been paused, in milliseconds. */
 export const stallMs = 250;
 /** Hosts that may be asked for a call before its backend server takes it; more only spread an overload. */
 export const maxRedirects = 2;
--- a/packages/daemon/src/adapters/calls/context.ts
+++ b/packages/daemon/src/adapters/calls/context.ts
@@ -1,6 +1,7 @@
 import type { Board } from "../../board.js";
 import type { Cancellation } from "./cancellation.js";
 import type { Admissions } from "./admissions.js";
+import type { Arrivals } from "./arrivals.js";
 import type { CallDialect } from "./dialect.js";
 import type { Fates } from "./fates.js";
 import type { Observations } from "./observations.js";
@@ -20,6 +21,7 @@
     readonly observations: Observations;
     readonly telemetry: Telemetry;
     readonly timers: Timers;
+    readonly arrivals: Arrivals;
     readonly dialect: CallDialect;
     /** For attempts after one that may have reached a backend server. */
     readonly retryBudgets: RetryBudgets;
--- a/packages/daemon/src/adapters/calls/createCalls.ts
+++ b/packages/daemon/src/adapters/calls/createCalls.ts
@@ -6,6 +6,7 @@
 import { steadyNow } from "../../steadyClock.js";
 import { closeListener, openListener } from "../httpListener.js";
 import { createAdmissions } from "./admissions.js";
+import { createArrivals } from "./arrivals.js";
 import { redirectLimits } from "./constants.js";
 import type { CallContext } from "./context.js";
 import type { CallDialect } from "./dialect.js";
@@ -64,6 +65,7 @@
         observations: createObservations(board),
         telemetry: createTelemetry(board, now),
         timers: createTimers(board, now),
+        arrivals: createArrivals(board, now),
         dialect,
         retryBudgets: createRetryBudgets(board.read("settings").retries),
         redirectBudgets: createRetryBudgets(redirectLimits),
@@ -128,9 +130,13 @@
             clearTimeout(timer);
             subscriptions.forEach(subscription => subscription.close());
             await context.pools.close();
-            [context.admissions, context.fates, context.observations, context.timers].forEach(part =>
-                part.close(),
-            );
+            [
+                context.admissions,
+                context.fates,
+                context.observations,
+                context.timers,
+                context.arrivals,
+            ].forEach(part => part.close());
         },
     };
 }
--- a/packages/daemon/src/adapters/calls/headers.ts
+++ b/packages/daemon/src/adapters/calls/headers.ts
@@ -39,18 +39,27 @@
 
 /** Checks the headers of a request (RFC 9112, section 6) and separates what may be passed on. */
 export function readRequestHead(raw: readonly string[], rules: HeaderRules): Either<Refusal, RequestHead> {
-    const entries = pairs(raw);
+    const nominated = nominatedNames(raw);
     const byName = new Map<string, string>();
+    const own = new Map<string, string>();
+    const headers: string[] = [];
     let repeatsSingle = false;
-    for (const [name, value] of entries) {
+    for (let i = 0; i + 1 < raw.length; i += 2) {
+        const name = (raw[i] as string).toLowerCase();
+        const value = raw[i + 1] as string;
         repeatsSingle ||= byName.has(name) && single.test(name);
         byName.set(name, value);
+        if (isOwn(name, rules)) {
+            own.set(name, value);
+        }
+        if (!isDropped(name, nominated) && (rules.passesHost || name !== "host") && !rules.isReserved(name)) {
+            headers.push(name, value);
+        }
     }
-    const nominated = nominatedNames(entries);
     const length = byName.get("content-length");
     const encoding = byName.get("transfer-encoding");
     if (
-        entries.length > maxHeaders ||
+        raw.length > 2 * maxHeaders ||
         repeatsSingle ||
         [...nominated].some(name => neverNominated.test(name)) ||
         (length !== undefined && (encoding !== undefined || !/^\d{1,15}$/.test(length))) ||
@@ -58,35 +67,46 @@
     ) {
         return Left(refusal(RefusalReason.Malformed));
     }
-    const passed = entries.filter(
-        ([name]) =>
-            !isDropped(name, nominated) && (rules.passesHost || name !== "host") && !rules.isReserved(name),
-    );
-    const isOwn = (name: string) =>
-        name.startsWith(ownPrefix) ||
-        name === "traceparent" ||
-        name === rules.callIdHeader ||
-        name === rules.deadlineHeader;
     return Right({
-        headers: passed.flat(),
-        own: new Map(entries.filter(([name]) => isOwn(name))),
+        headers,
+        own,
         hostName: (byName.get("host") ?? "").replace(/:\d+$/, "").toLowerCase(),
         hasBody: encoding !== undefined || Number(length ?? 0) > 0,
         declaredBytes: length === undefined ? undefined : Number(length),
     });
 }
 
+function isOwn(name: string, { callIdHeader, deadlineHeader }: HeaderRules): boolean {
+    return (
+        name === callIdHeader ||
+        name === deadlineHeader ||
+        name === "traceparent" ||
+        name.startsWith(ownPrefix)
+    );
+}
+
 /** Headers of a response that may be passed on. Those of the daemons are kept only between daemons. */
 export function responseHeaders(raw: readonly string[], kept: ReadonlySet<string>): string[] {
-    const entries = pairs(raw);
-    const nominated = nominatedNames(entries);
-    return entries.filter(([name]) => kept.has(name) || !isDropped(name, nominated)).flat();
+    const nominated = nominatedNames(raw);
+    const headers: string[] = [];
+    for (let i = 0; i + 1 < raw.length; i += 2) {
+        const name = (raw[i] as string).toLowerCase();
+        if (kept.has(name) || !isDropped(name, nominated)) {
+            headers.push(name, raw[i + 1] as string);
+        }
+    }
+    return headers;
 }
 
 /** Value of the first header of that name, which is given in lower case. */
 export function headerValue(raw: readonly string[], name: string): string | undefined {
-    const index = raw.findIndex((part, i) => i % 2 === 0 && part.toLowerCase() === name);
-    return index < 0 ? undefined : raw[index + 1];
+    for (let i = 0; i + 1 < raw.length; i += 2) {
+        // Names of the same length alone are worth lower case.
+        if (raw[i]?.length === name.length && raw[i]?.toLowerCase() === name) {
+            return raw[i + 1];
+        }
+    }
+    return undefined;
 }
 
 function isDropped(name: string, nominated: ReadonlySet<string>): boolean {
@@ -95,21 +115,20 @@
 
 const nothingNominated: ReadonlySet<string> = new Set();
 
-function nominatedNames(entries: readonly [string, string][]): ReadonlySet<string> {
+/** Names that the `connection` headers nominate. */
+function nominatedNames(raw: readonly string[]): ReadonlySet<string> {
     let names = nothingNominated;
-    for (const [name, value] of entries) {
+    for (let i = 0; i + 1 < raw.length; i += 2) {
+        const value = raw[i + 1] as string;
         // Nearly every `connection` header only says these, which are dropped anyway.
-        if (name === "connection" && value !== "keep-alive" && value !== "close") {
+        const isOrdinary = value === "keep-alive" || value === "close";
+        if (!isOrdinary && isConnection(raw[i] as string)) {
             names = new Set([...names, ...value.split(",").map(part => part.trim().toLowerCase())]);
         }
     }
     return names;
 }
 
-function pairs(raw: readonly string[]): [string, string][] {
-    const result: [string, string][] = [];
-    for (let i = 0; i + 1 < raw.length; i += 2) {
-        result.push([(raw[i] as string).toLowerCase(), raw[i + 1] as string]);
-    }
-    return result;
+function isConnection(name: string): boolean {
+    return name.length === "connection".length && name.toLowerCase() === "connection";
 }
--- a/packages/daemon/src/adapters/calls/incoming.ts
+++ b/packages/daemon/src/adapters/calls/incoming.ts
@@ -42,14 +42,13 @@
 const callIdPattern = /^[A-Za-z0-9._:-]{1,128}$/;
 
 /**
- * Earliest instant at which a request that is read now can have arrived. After a pause of the process,
- * requests that waited in the socket buffers are read late, and their deadline has run meanwhile.
+ * Earliest instant at which a request that is read now can have arrived. While the process is busy, and after a pause of
+ * it, requests wait in the socket buffers, and their deadline runs meanwhile.
  */
-export function earliestArrival({ board, now }: CallContext): number {
+export function earliestArrival({ arrivals, board, now }: CallContext): number {
     const { now: tickedAt, pausedForMs } = board.read("clock");
-    const readAt = now();
-    const lastTurn = pausedForMs > stallMs ? tickedAt - pausedForMs : tickedAt;
-    return readAt - lastTurn > stallMs ? lastTurn : readAt;
+    const lastTick = pausedForMs > stallMs ? tickedAt - pausedForMs : tickedAt;
+    return now() - lastTick > stallMs ? Math.min(lastTick, arrivals.earliest()) : arrivals.earliest();
 }
 
 /** Whether this host takes new calls. */
--- a/packages/daemon/src/adapters/calls/requestBody.ts
+++ b/packages/daemon/src/adapters/calls/requestBody.ts
@@ -28,15 +28,27 @@
     readonly repeatable: boolean;
 }
 
+const absentAttempt: BodyAttempt = { chunks: null, commit: () => undefined, close: () => undefined };
+const absentBody: RequestBody = {
+    open: () => absentAttempt,
+    countSmall: () => Promise.resolve(),
+    replayable: () => true,
+    tooLarge: () => false,
+};
+
 /** Reads a request body on demand, so that a slow receiver slows the caller down. */
-export function createRequestBody(
+export function createRequestBody(request: IncomingMessage, options: RequestBodyOptions): RequestBody {
+    return options.hasBody ? createPresentBody(request, options) : absentBody;
+}
+
+function createPresentBody(
     request: IncomingMessage,
-    { hasBody, maxBytes, repeatable }: RequestBodyOptions,
+    { maxBytes, repeatable }: RequestBodyOptions,
 ): RequestBody {
     const iterator = request[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
     const kept: Buffer[] = [];
     let received = 0;
-    let ended = !hasBody;
+    let ended = false;
     let committed = false;
     let trimmed = false;
     let pull: Promise<void> | undefined;
@@ -93,7 +105,7 @@
         }
 
         return {
-            chunks: hasBody ? send() : null,
+            chunks: send(),
             commit() {
                 committed = true;
                 openGate();
