feat(admission): the wait leaves room for the run, and what cannot be served any more is refused

Change: the usual run of each operation is known; a call waits for no longer than the objective leaves beside it, with a tenth of it always allowed, and is refused when less than half of a run is left before its deadline. A refusal between daemons reports the capacity as an answer does, so the next choice knows of it.

--- a/packages/core/features/admission.feature
+++ b/packages/core/features/admission.feature
@@ -47,6 +47,16 @@
         Then at least 65% of all calls are answered within the objective
         And without the objective less than 30% are
 
+    # Guards against calls that are held until their deadline although they cannot be served any more.
+    Scenario: A waiting call is refused once it has less than half of the usual run of its operation left
+        Given an admission state with 4 slots in use by partner "east" of share 1
+        Then a waiting call with 300 ms left of an operation that takes 200 ms expires after 200 ms and not after 199 ms
+
+    # Guards against a queue that fits the objective alone, but not the queue and the run together.
+    Scenario: Under overload calls whose run takes most of the objective wait no longer than it leaves
+        When 125% of the capacity arrive for 20 s with work of 260 ms, an objective of 400 ms and a deadline of 2500 ms
+        Then at least 50% of all calls are answered within the objective
+
     Scenario: The most urgent of the waiting calls come first, and none behind them counts for their wait
         Given an admission state with 4 slots in use by partner "east" of share 1
         Then calls of priority 2, 1, 2 and 0 are admitted in the order 0, 1, 2, 2
--- a/packages/core/features/steps/admission.ts
+++ b/packages/core/features/steps/admission.ts
@@ -104,7 +104,7 @@
                 if (step === "release") {
                     const partner = running.shift();
                     if (partner !== undefined) {
-                        releaseSlot(state, partner, "b1", 1);
+                        releaseSlot(state, { partner }, "b1", 1);
                         counts.ended += 1;
                         pump();
                     }
@@ -159,7 +159,7 @@
         second: number,
         secondName: string,
     ) {
-        [1, 2, 3, 4].forEach(() => releaseSlot(this.state, "east", "b1", 10));
+        [1, 2, 3, 4].forEach(() => releaseSlot(this.state, { partner: "east" }, "b1", 10));
         const wide = capacitiesOf({ ...service, slots: total }, [serverOf()], now);
         const admitted = Array.from({ length: total }, () => admitNext(this.state, wide)?.call.partner);
         assert.equal(admitted.filter(partner => partner === firstName).length, first);
@@ -242,7 +242,7 @@
     assert.equal(removeWaiting(this.state, calls[1] as WaitingCall), true);
     assert.equal(removeWaiting(this.state, calls[1] as WaitingCall), false);
     assert.equal(this.state.queued, 1);
-    releaseSlot(this.state, "east", "b1", 10);
+    releaseSlot(this.state, { partner: "east" }, "b1", 10);
     assert.equal(admitNext(this.state, capacities)?.call, calls[2]);
 });
 
@@ -257,3 +257,16 @@
         );
     },
 );
+
+Then(
+    "a waiting call with {int} ms left of an operation that takes {int} ms expires after {int} ms and not after {int} ms",
+    function (this: World, leftMs: number, runMs: number, afterMs: number, beforeMs: number) {
+        const operation = "read";
+        releaseSlot(this.state, { partner: "east", operation }, "b1", runMs);
+        assert.equal(ask(this, callOf("east", 1)).kind, "admitted");
+        const call = { ...callOf("east", 1, leftMs), operation };
+        assert.equal(ask(this, call).kind, "queued");
+        assert.deepEqual(removeExpired(this.state, now + beforeMs), []);
+        assert.deepEqual(removeExpired(this.state, now + afterMs), [call]);
+    },
+);
--- a/packages/core/features/steps/overload.ts
+++ b/packages/core/features/steps/overload.ts
@@ -24,6 +24,7 @@
     readonly forMs: number;
     readonly objectiveMs: number;
     readonly deadlineMs: number;
+    readonly workMs: number;
 }
 
 const slots = 18;
@@ -58,7 +59,7 @@
     let inTime = 0;
 
     function start(call: WaitingCall, at: number): void {
-        const workMs = meanWorkMs * (0.3 + 1.4 * random());
+        const workMs = load.workMs * (0.3 + 1.4 * random());
         running.push({ call, startedAt: at, endsAt: at + workMs });
     }
 
@@ -67,7 +68,7 @@
             running.splice(running.indexOf(done), 1);
             const tookMs = done.endsAt - (arrivedAt.get(done.call.callId) ?? 0);
             inTime += tookMs <= load.objectiveMs ? 1 : 0;
-            releaseSlot(state, partner, server.id, done.endsAt - done.startedAt);
+            releaseSlot(state, done.call, server.id, done.endsAt - done.startedAt);
         }
         removeExpired(state, at);
         for (let next = admitNext(state, capacities); next !== undefined;) {
@@ -76,7 +77,7 @@
         }
     }
 
-    const perMs = (slots / meanWorkMs) * load.rate;
+    const perMs = (slots / load.workMs) * load.rate;
     for (let at = 0; at < load.forMs; at += 1) {
         finish(at);
         for (let due = perMs; due > random(); due -= 1) {
@@ -96,7 +97,22 @@
 When(
     "{int}% of the capacity arrive for {int} s with an objective of {int} ms and a deadline of {int} ms",
     function (this: World, percent: number, seconds: number, objectiveMs: number, deadlineMs: number) {
-        this.load = { rate: percent / 100, forMs: seconds * 1_000, objectiveMs, deadlineMs };
+        const rate = percent / 100;
+        this.load = { rate, forMs: seconds * 1_000, objectiveMs, deadlineMs, workMs: meanWorkMs };
+    },
+);
+
+When(
+    "{int}% of the capacity arrive for {int} s with work of {int} ms, an objective of {int} ms and a deadline of {int} ms",
+    function (
+        this: World,
+        percent: number,
+        seconds: number,
+        workMs: number,
+        objectiveMs: number,
+        deadlineMs: number,
+    ) {
+        this.load = { rate: percent / 100, forMs: seconds * 1_000, objectiveMs, deadlineMs, workMs };
     },
 );
 
--- a/packages/core/src/admission/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -19,6 +19,18 @@
  * calls are started in vain.
  */
 const maxWaitShare = 0.5;
+/**
+ * Share of that time which a call may always wait, so that slots do not stand empty between two calls where the run
+ * alone takes up to the objective.
+ */
+const minWaitShare = 0.1;
+/**
+ * Share of the usual run of an operation below which a call that still waits has no time left to be served. The runs of
+ * one operation differ by a factor of two and more.
+ */
+const leastRunShare = 0.5;
+/** Operations of one service whose run times are known apart; further ones count as taking no time. */
+const maxTimedOperations = 256;
 
 export interface WaitingCall {
     readonly callId: string;
@@ -36,6 +48,11 @@
      * @default 0
      */
     readonly priority?: number;
+    /**
+     * Calls of one operation take about the same time at a backend server.
+     * @default ""
+     */
+    readonly operation?: string;
 }
 
 export interface PartnerUse {
@@ -52,6 +69,8 @@
     serviceMs: number;
     /** The same over more calls, by which hosts compare their backend servers; `undefined` before the first. */
     typicalMs: number | undefined;
+    /** The same for the calls of each operation. */
+    readonly runMs: Map<string, number>;
 }
 
 /** A backend server with the number of calls that it may work on. */
@@ -75,6 +94,7 @@
         queued: 0,
         serviceMs: firstServiceMs,
         typicalMs: undefined,
+        runMs: new Map(),
     };
 }
 
@@ -122,12 +142,23 @@
         return { kind: AdmissionKind.Admitted, server };
     }
     const waitMs = expectedWaitMs(state, call, capacities);
-    if (waitMs > maxWaitShare * (Math.min(call.objective ?? call.deadline, call.deadline) - now)) {
+    if (waitMs > longestWaitMs(state, call, now)) {
         return refuse(RefusalReason.WaitTooLong, waitMs);
     }
     return enqueue(state, call, waitMs);
 }
 
+/** Time for which a call may wait and still be answered in time, as far as its operation is known. */
+function longestWaitMs({ runMs }: ServiceAdmission, call: WaitingCall, now: number): number {
+    const leftMs = Math.min(call.objective ?? call.deadline, call.deadline) - now;
+    const afterRunMs = leftMs - (runMs.get(operationOf(call)) ?? 0);
+    return Math.max(minWaitShare * leftMs, Math.min(maxWaitShare * leftMs, afterRunMs));
+}
+
+function operationOf({ operation = "" }: Pick<WaitingCall, "operation">): string {
+    return operation;
+}
+
 function enqueue(state: ServiceAdmission, call: WaitingCall, waitMs: number): AdmissionDecision {
     const use = useOf(state, call.partner);
     if (state.queued < maxQueuedCalls) {
@@ -197,16 +228,19 @@
     return true;
 }
 
-/** Removes and returns the waiting calls whose deadline has passed. */
+/** Removes and returns the waiting calls that could not be served any more before their deadline. */
 export function removeExpired(state: ServiceAdmission, now: number): readonly WaitingCall[] {
-    const expired = [...state.partners.values()].flatMap(use => use.queue.filter(c => c.deadline <= now));
+    const neededMs = (call: WaitingCall) => leastRunShare * (state.runMs.get(operationOf(call)) ?? 0);
+    const expired = [...state.partners.values()].flatMap(use =>
+        use.queue.filter(call => call.deadline - neededMs(call) <= now),
+    );
     expired.forEach(call => removeWaiting(state, call));
     return expired;
 }
 
 export function releaseSlot(
     state: ServiceAdmission,
-    partner: string,
+    call: Pick<WaitingCall, "partner" | "operation">,
     serverId: string,
     heldMs: number,
 ): void {
@@ -216,13 +250,18 @@
     } else {
         state.inUse.delete(serverId);
     }
-    useOf(state, partner).inUse -= 1;
-    forgetIdle(state, partner);
+    useOf(state, call.partner).inUse -= 1;
+    forgetIdle(state, call.partner);
     state.serviceMs += serviceTimeWeight * (heldMs - state.serviceMs);
-    state.typicalMs =
-        state.typicalMs === undefined
-            ? heldMs
-            : state.typicalMs + typicalTimeWeight * (heldMs - state.typicalMs);
+    state.typicalMs = averageWith(state.typicalMs, heldMs);
+    const operation = operationOf(call);
+    if (state.runMs.has(operation) || state.runMs.size < maxTimedOperations) {
+        state.runMs.set(operation, averageWith(state.runMs.get(operation), heldMs));
+    }
+}
+
+function averageWith(average: number | undefined, heldMs: number): number {
+    return average === undefined ? heldMs : average + typicalTimeWeight * (heldMs - average);
 }
 
 /** What this host says of its backend servers of a service; `undefined` before their first call has ended. */
--- a/packages/daemon/src/adapters/calls/admissions.ts
+++ b/packages/daemon/src/adapters/calls/admissions.ts
@@ -116,7 +116,7 @@
                 avoidedUntil.set(server.id, now() + avoidMs);
             }
             if (held.delete(slot)) {
-                releaseSlot(stateOf(admitting, service), call.partner, server.id, now() - takenAt);
+                releaseSlot(stateOf(admitting, service), call, server.id, now() - takenAt);
                 pump(admitting, service);
             }
         },
--- a/packages/daemon/src/adapters/calls/handleHop.ts
+++ b/packages/daemon/src/adapters/calls/handleHop.ts
@@ -1,4 +1,4 @@
-import { refusal, RefusalReason, type Refusal } from "@tanagertray/core";
+import { refusal, RefusalReason, type Refusal, type Service } from "@tanagertray/core";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Left, Right, type Either } from "purify-ts/Either";
 import { encodeCapacity } from "./capacityHeader.js";
@@ -104,7 +104,7 @@
         request.resume();
     }
     outcome.caseOf({
-        Left: refused => sendOwn(response, answerNotRun(refused)),
+        Left: refused => refuse(context, response, matched.service, refused),
         Right: ({ end }) => answerByEnd[end](response),
     });
     const reason = outcome.caseOf<string>({ Left: refused => refused.reason, Right: ({ end }) => end });
@@ -116,6 +116,14 @@
     context.telemetry.event("call.hop", "debug", { service: matched.service.name, reason });
 }
 
+/** Refuses a call with what the next choice of the entry daemon needs to know of this host. */
+function refuse(context: CallContext, response: ServerResponse, service: Service, refused: Refusal): void {
+    const answer = answerNotRun(refused);
+    const [name, capacity] = encodeCapacity(context.admissions.report(service));
+    const known = name === undefined || capacity === undefined ? {} : { [name]: capacity };
+    sendOwn(response, { ...answer, headers: { ...answer.headers, ...known } });
+}
+
 const answerByEnd = {
     [ExchangeEnd.Completed]: () => undefined,
     [ExchangeEnd.NeverWritten]: response =>
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -37,7 +37,16 @@
     const waitUntil = Math.min(call.deadline, context.now() + maxQueueMs);
     const { priority, latencyObjectiveMs } = call.matched;
     const objective = context.now() + latencyObjectiveMs;
-    const waiting = { callId: call.attemptId, partner, share, priority, objective, deadline: waitUntil };
+    const operation = call.matched.operation.name;
+    const waiting = {
+        callId: call.attemptId,
+        partner,
+        share,
+        priority,
+        operation,
+        objective,
+        deadline: waitUntil,
+    };
     const admitted = await context.admissions.acquire(service, waiting, call.control);
     if (admitted.isLeft()) {
         return Left(admitted.extract() as Refusal);
--- a/scripts/bench/calls/localDaemon.ts
+++ b/scripts/bench/calls/localDaemon.ts
@@ -127,7 +127,7 @@
         // Exponential service times.
         const ownMs = -Math.log(1 - random()) * serviceMs * host.slowness(takenAt);
         const release: Done = end => {
-            releaseSlot(host.admission, call.partner, server.id, queue.now() - takenAt);
+            releaseSlot(host.admission, call, server.id, queue.now() - takenAt);
             pump(host);
             answer(Right(host.up ? end : SimulatedEnd.Lost));
         };
