--- a/packages/daemon/src/adapters/calls/handleEntry.ts
+++ b/packages/daemon/src/adapters/calls/handleEntry.ts
@@ -168,14 +168,18 @@
             resetConnection(entry.response);
             return CallResult.Reset;
         }
-        const isOver = remainingMs(entry.deadline, context.now()) < leastAttemptMs;
-        if (step !== NextStep.Retry || isOver || !takeAnother(context, entry, outcome)) {
+        if (step !== NextStep.Retry || isOver(context, entry) || !takeAnother(context, entry, outcome)) {
             return finish(context, entry);
         }
         entry.retries += 1;
     }
 }
 
+/** Whether too little time is left for another attempt. */
+function isOver({ now }: CallContext, { deadline }: EntryCall): boolean {
+    return remainingMs(deadline, now()) < leastAttemptMs;
+}
+
 /** Takes the right to another attempt. One that reached no backend server costs the servers nothing. */
 function takeAnother(context: CallContext, entry: EntryCall, outcome: AttemptOutcome): boolean {
     const { service, maxAttempts } = entry.call.matched;
@@ -293,10 +297,10 @@
 }
 
 /** Answers a call that no backend server answered. */
-function finish({ dialect, now }: CallContext, entry: EntryCall): CallResult {
+function finish(context: CallContext, entry: EntryCall): CallResult {
+    const { dialect } = context;
     if (entry.mayHaveRun) {
-        const isOver = remainingMs(entry.deadline, now()) < leastAttemptMs;
-        const isLate = isOver || entry.control.reason === deadlinePassed;
+        const isLate = isOver(context, entry) || entry.control.reason === deadlinePassed;
         const cause = isLate ? UnknownCause.DeadlinePassed : UnknownCause.Lost;
         sendOwn(entry.response, dialect.unknown(cause));
         return CallResult.Unknown;
--- a/packages/daemon/src/controllers/readiness.ts
+++ b/packages/daemon/src/controllers/readiness.ts
@@ -14,6 +14,7 @@
 } from "@tanagertray/core";
 import type { Board } from "../board.js";
 import type { Closeable } from "../closeable.js";
+import { heldVersion } from "./advertisement.js";
 
 type MessageOf<K> = Extract<PeerMessage, { kind: K }>;
 type Handler<M> = (from: string, message: M, receivedAt: number) => void;
@@ -84,10 +85,6 @@
     return { close: () => subscriptions.forEach(subscription => subscription.close()) };
 }
 
-function heldVersion(board: Board): number {
-    return board.read("configuration").held?.manifest.version ?? 0;
-}
-
 function readFacts(board: Board): ReadinessFacts {
     const { now, pausedForMs } = board.read("clock");
     const { head, headReadAt, reachable } = board.read("platformState");
