--- a/scripts/bundle/bundle.mjs
+++ b/scripts/bundle/bundle.mjs
@@ -1,10 +1,17 @@
-/** Bundles the daemon of a deployment on the platform into one file, so that a start reads and parses little. */
+/** Bundles the daemon of a deployment on the platform into one file with its compiled code, so that a start does little. */
 import { build } from "esbuild";
+import { spawnSync } from "node:child_process";
+import { copyFileSync, readFileSync, rmSync } from "node:fs";
 import { createRequire } from "node:module";
 
+const bundle = "target/daemon.cjs";
+const cache = "target/daemon.cache";
+/** Time for the run that compiles the code, in milliseconds. */
+const cacheTimeoutMs = 30_000;
+
 await build({
     entryPoints: ["platform/src/main.ts"],
-    outfile: "target/tanagertray.cjs",
+    outfile: bundle,
     bundle: true,
     platform: "node",
     mainFields: ["module", "main"],
@@ -39,3 +46,16 @@
         },
     ],
 });
+
+// V8 takes a cache only from a process with its own flags.
+const [, flags = ""] = /^run = "node (.*) target\//m.exec(readFileSync("deploy/system.toml", "utf8")) ?? [];
+rmSync(cache, { force: true });
+const { status } = spawnSync(
+    process.execPath,
+    [...flags.split(" "), "scripts/bundle/codeCache.cjs", bundle, cache],
+    { stdio: ["ignore", "ignore", "inherit"], timeout: cacheTimeoutMs },
+);
+if (status !== 0) {
+    process.stderr.write("The code cache was not made; the daemon starts without it.\n");
+}
+copyFileSync("scripts/bundle/loader.cjs", "target/tanagertray.cjs");
