feat(routing): a host's refusal for its wait holds for like calls for 150 ms

Change: a host that refused is left out for calls of the same operation and partner for 150 ms; when all are, the entry daemon refuses at once with the least wait that they expected. The own host is always asked, since that costs no hop.

--- a/packages/core/features/routing.feature
+++ b/packages/core/features/routing.feature
@@ -67,3 +67,11 @@
 
     Scenario: A starting host gets a growing share
         Then a host that is 25%, 50% and 100% through its cold start counts with that share of its slots
+
+    # Guards against calls that go round all hosts of an overloaded service only to be refused by each.
+    Scenario: A host that refused an operation for its wait is not asked for it again at once
+        Given routing targets of 2 hosts in the own domain and 2 in another region
+        When "near1" and "near2" refuse "read" calls for a wait of 300 and 200 ms
+        Then "read" calls go to "far1,far2" and "write" calls to "near1,near2"
+        And when the others refuse "read" calls too, no host is chosen, and the least wait is 200 ms
+        And 150 ms later "read" calls go to "near1,near2" again
--- a/packages/core/features/steps/routing.ts
+++ b/packages/core/features/steps/routing.ts
@@ -4,9 +4,11 @@
     createObservation,
     ejectedHosts,
     findTargets,
+    leastRefusedWaitMs,
     matchPath,
     noteEnd,
     noteFailure,
+    noteFull,
     noteLoad,
     noteRefusal,
     noteStart,
@@ -233,3 +235,48 @@
         assert.deepEqual(shares, [0.1, 0.25, 0.5, 1, 1]);
     },
 );
+
+/** Hosts that a hundred calls of the operation go to. */
+function hostsOf(world: World, operation: string, at = now): string {
+    const random = seeded(3);
+    const { targets, observations } = world;
+    const options = { observations, now: at, random, coldStartMs: 0, excluded: new Set<string>(), operation };
+    const hosts = Array.from({ length: 100 }, () => chooseTarget(targets, options)?.target.host ?? "none");
+    return [...new Set(hosts)].sort().join(",");
+}
+
+const refuseFor = (world: World, host: string, operation: string, waitMs: number) =>
+    noteFull(world.observations.get(host) as HostObservation, operation, waitMs, now);
+
+When(
+    "{string} and {string} refuse {string} calls for a wait of {int} and {int} ms",
+    function (this: World, a: string, b: string, operation: string, waitA: number, waitB: number) {
+        refuseFor(this, a, operation, waitA);
+        refuseFor(this, b, operation, waitB);
+    },
+);
+
+Then(
+    "{string} calls go to {string} and {string} calls to {string}",
+    function (this: World, operation: string, hosts: string, other: string, otherHosts: string) {
+        assert.equal(hostsOf(this, operation), hosts);
+        assert.equal(hostsOf(this, other), otherHosts);
+    },
+);
+
+Then(
+    "when the others refuse {string} calls too, no host is chosen, and the least wait is {int} ms",
+    function (this: World, operation: string, waitMs: number) {
+        ["far1", "far2"].forEach(host => refuseFor(this, host, operation, 400));
+        const { targets, observations } = this;
+        assert.equal(hostsOf(this, operation), "none");
+        assert.equal(leastRefusedWaitMs(targets, { observations, now, operation }), waitMs);
+    },
+);
+
+Then(
+    "{int} ms later {string} calls go to {string} again",
+    function (this: World, afterMs: number, operation: string, hosts: string) {
+        assert.equal(hostsOf(this, operation, now + afterMs), hosts);
+    },
+);
--- a/packages/core/src/routing/observation.ts
+++ b/packages/core/src/routing/observation.ts
@@ -19,6 +19,15 @@
     loadAt: number;
     /** Last word of the host on its backend servers of the service. */
     report: DatedReport | undefined;
+    /** Operations whose calls the host has just refused because they would wait too long. */
+    readonly full: Map<string, FullMark>;
+}
+
+/** A host's refusal of an operation, which holds for other calls of that operation for a short time. */
+export interface FullMark {
+    readonly until: number;
+    /** Wait that the host expected, in milliseconds. */
+    readonly waitMs: number;
 }
 
 /** What a host says of its backend servers of one service. */
@@ -47,6 +56,13 @@
 const refusalHalfLifeMs = 1_000;
 /** Longest time for which one refusal marks a host as saturated, in milliseconds. */
 const maxSaturationMs = 500;
+/**
+ * Time for which a refusal holds for other calls of its operation, in milliseconds: a call's usual run, in which a host
+ * gives each of its slots to one more call.
+ */
+const fullMarkMs = 150;
+/** Operations of one host that are marked at a time; further ones are asked for. */
+const maxFullMarks = 64;
 /** Age at which the calls of others in a capacity report count half, in milliseconds. */
 const reportHalfLifeMs = 2_000;
 /** Age at which a load report counts half, in milliseconds. */
@@ -67,6 +83,7 @@
         load: 0,
         loadAt: 0,
         report: undefined,
+        full: new Map(),
     };
 }
 
@@ -109,6 +126,28 @@
     }
 }
 
+/** Notes that the host refused a call of the operation because it would have waited too long. */
+export function noteFull(seen: HostObservation, operation: string, waitMs: number, now: number): void {
+    for (const [marked, { until }] of seen.full) {
+        if (until <= now) {
+            seen.full.delete(marked);
+        }
+    }
+    if (seen.full.has(operation) || seen.full.size < maxFullMarks) {
+        seen.full.set(operation, { until: now + fullMarkMs, waitMs });
+    }
+}
+
+/** The host's refusal that still holds for calls of the operation. */
+export function fullMark(
+    seen: HostObservation | undefined,
+    operation: string,
+    now: number,
+): FullMark | undefined {
+    const mark = seen?.full.get(operation);
+    return mark !== undefined && mark.until > now ? mark : undefined;
+}
+
 export function noteLoad(seen: HostObservation, load: number, now: number): void {
     seen.load = Math.min(1, Math.max(0, load));
     seen.loadAt = now;
--- a/packages/core/src/routing/selection.ts
+++ b/packages/core/src/routing/selection.ts
@@ -1,5 +1,6 @@
 import {
     expectedCalls,
+    fullMark,
     recentLatencyMs,
     recentLoad,
     recentRefusals,
@@ -28,6 +29,11 @@
      * @default 0
      */
     readonly kilobytes?: number;
+    /**
+     * Calls of one operation are as urgent as each other and take about the same time.
+     * @default ""
+     */
+    readonly operation?: string;
 }
 
 /** What it costs to leave the nearer tiers, as the wait that it must save. */
@@ -46,16 +52,34 @@
 /**
  * Chooses a host: the better of two random hosts of each tier, and of these the one with the least
  * wait and distance. When every host is suspected or marked as saturated the marks are ignored, because they may
- * be out of date and the host itself refuses what it cannot take.
+ * be out of date and the host itself refuses what it cannot take. A host that has just refused a call of the same
+ * operation because of its wait would refuse this one, too, and is not chosen.
  */
 export function chooseTarget(targets: ServiceTargets, options: SelectionOptions): Selection | undefined {
-    return chooseFrom(targets, options, isSaturated) ?? chooseFrom(targets, options, () => false);
+    return chooseFrom(targets, options, isSaturated) ?? chooseFrom(targets, options, isFull);
+}
+
+/** Least wait of the hosts that would refuse the call because of it; `undefined` when there is none. */
+export function leastRefusedWaitMs(
+    targets: ServiceTargets,
+    { observations, now, operation = "" }: Pick<SelectionOptions, "observations" | "now" | "operation">,
+): number | undefined {
+    const marks = tierOrder
+        .flatMap(tier => targets[tier])
+        .flatMap(({ host }) => fullMark(observations.get(host), operation, now) ?? []);
+    return marks.length === 0 ? undefined : Math.min(...marks.map(({ waitMs }) => waitMs));
+}
+
+function isFull({ host }: Target, { observations, now, operation = "" }: SelectionOptions): boolean {
+    return fullMark(observations.get(host), operation, now) !== undefined;
 }
 
 type Skip = (target: Target, options: SelectionOptions) => boolean;
 
-function isSaturated({ host, isSuspect }: Target, { observations, now }: SelectionOptions): boolean {
-    return isSuspect || (observations.get(host)?.saturatedUntil ?? 0) > now;
+function isSaturated(target: Target, options: SelectionOptions): boolean {
+    const { host, isSuspect } = target;
+    const { observations, now } = options;
+    return isSuspect || (observations.get(host)?.saturatedUntil ?? 0) > now || isFull(target, options);
 }
 
 /**
--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -4,6 +4,7 @@
     noteCapacity,
     noteEnd,
     noteFailure,
+    noteFull,
     noteLoad,
     noteRefusal,
     noteStart,
@@ -15,6 +16,7 @@
     saysSaturated,
     Tier,
     type HostObservation,
+    type MatchedCall,
     type Refusal,
     type Selection,
 } from "@tanagertray/core";
@@ -77,6 +79,10 @@
     if (outcome.refusal !== undefined && outcome.failure === AttemptFailure.Refused) {
         const { reason, retryAfterMs } = outcome.refusal;
         noteRefusal(seen, context.now(), { saturated: saysSaturated(reason), retryAfterMs });
+        // The own host decides on each call without a hop.
+        if (reason === RefusalReason.WaitTooLong && tier !== Tier.OwnHost) {
+            noteFull(seen, sameCalls(attempt.call.matched), retryAfterMs, context.now());
+        }
     } else if (outcome.failure !== undefined && attempt.control.reason !== callerLeft) {
         noteFailure(seen, context.now());
         if (outcome.failure === AttemptFailure.NeverWritten) {
@@ -87,6 +93,11 @@
     return outcome;
 }
 
+/** Calls with the same text are of one operation and share the fair queue, so that a refusal of one holds for all. */
+export function sameCalls({ partner, operation }: MatchedCall): string {
+    return `${partner}/${operation.name}`;
+}
+
 /** Says why an attempt failed, with what the choice of its host was based on. */
 function noteFailedAttempt(
     { telemetry, now, board }: CallContext,
--- a/packages/daemon/src/adapters/calls/handleEntry.ts
+++ b/packages/daemon/src/adapters/calls/handleEntry.ts
@@ -4,6 +4,7 @@
     CallOutcome,
     chooseTarget,
     isFinalRefusal,
+    leastRefusedWaitMs,
     nextStepAfter,
     NextStep,
     noteCapacity,
@@ -19,7 +20,7 @@
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Cancellation } from "./cancellation.js";
-import { makeAttempt, type AttemptOutcome } from "./attempt.js";
+import { makeAttempt, sameCalls, type AttemptOutcome } from "./attempt.js";
 import { fateWaitMs, leastAttemptMs, maxRedirects } from "./constants.js";
 import type { CallContext } from "./context.js";
 import { UnknownCause } from "./dialect.js";
@@ -210,6 +211,7 @@
         random: context.random,
         coldStartMs: service.coldStartMs,
         excluded: entry.excluded,
+        operation: sameCalls(entry.call.matched),
     };
     if (targets === undefined) {
         return undefined;
@@ -218,7 +220,12 @@
     const again = entry.connectionFailed
         ? chooseTarget(targets, { ...options, excluded: new Set() })
         : undefined;
-    return chooseTarget(targets, options) ?? again;
+    const selection = chooseTarget(targets, options) ?? again;
+    const refusedMs = selection === undefined ? leastRefusedWaitMs(targets, options) : undefined;
+    if (refusedMs !== undefined) {
+        entry.lastRefusal ??= refusal(RefusalReason.WaitTooLong, refusedMs);
+    }
+    return selection;
 }
 
 /** Other hosts report with each answer; this one knows its own backend servers at any time. */
