fix(cli,log): one line for a change of readiness; "1 service" in the singular

A change of readiness was logged twice, as readiness.changed and under a name for each state; readiness.changed now has the fields of both. The check of answers said "1 services, 1 callers"; the golden file has the corrected text. 66 scenarios of the command line and the admin listener pass.

--- a/packages/cli/src/commands/answersCheck.ts
+++ b/packages/cli/src/commands/answersCheck.ts
@@ -16,7 +16,7 @@
 };
 
 function describeMistakes(file: string, mistakes: readonly Problem[]): Failure {
-    const message = `${file} has ${mistakes.length} ${mistakes.length === 1 ? "mistake" : "mistakes"}`;
+    const message = `${file} has ${countOf(mistakes.length, "mistake")}`;
     const nextStep = "correct the answers and check them again";
     const code = mistakes[0]?.code ?? ProblemCode.InvalidAnswer;
     return { exitCode: ExitCode.Refused, problem: problem(code, message, { nextStep }), mistakes };
@@ -25,6 +25,10 @@
 function describeAnswers(file: string, answers: Answers): Result {
     const services = Object.keys(answers.services).length;
     const callers = Object.keys(answers.callers).length;
-    const text = `${file} has no mistakes: ${services} services, ${callers} callers\n`;
+    const text = `${file} has no mistakes: ${countOf(services, "service")}, ${countOf(callers, "caller")}\n`;
     return { json: { services, callers }, text };
 }
+
+function countOf(count: number, noun: string): string {
+    return `${count} ${noun}${count === 1 ? "" : "s"}`;
+}
--- a/packages/daemon/src/adapters/log.ts
+++ b/packages/daemon/src/adapters/log.ts
@@ -108,7 +108,7 @@
     };
 }
 
-type WatchedSection = "configuration" | "readiness" | "platformState";
+type WatchedSection = "configuration" | "platformState";
 
 /** Sections whose changes are logged, each with the events that describe its content. */
 const watchedSections: readonly {
@@ -116,7 +116,6 @@
     readonly describe: (board: Board) => readonly Event[];
 }[] = [
     { section: "configuration", describe: describeConfiguration },
-    { section: "readiness", describe: describeReadiness },
     { section: "platformState", describe: describePlatform },
 ];
 
@@ -148,11 +147,6 @@
         : [changed, { name: "configuration.rejected", level: EventLevel.Error, fields: { ...rejected } }];
 }
 
-function describeReadiness(board: Board): readonly Event[] {
-    const { state, reason, floor } = board.read("readiness");
-    return [{ name: "readiness.changed", level: EventLevel.Info, fields: { state, reason, floor } }];
-}
-
 function describePlatform(board: Board): readonly Event[] {
     const { reachable, head } = board.read("platformState");
     const level = reachable ? EventLevel.Info : EventLevel.Warn;
--- a/packages/daemon/src/controllers/readiness.ts
+++ b/packages/daemon/src/controllers/readiness.ts
@@ -72,9 +72,9 @@
 
     function noteChange(before: Joining["readiness"], after: Joining): void {
         const { state, reason, floor } = after.readiness;
-        if (state !== before.state) {
-            const fields = { before: before.state, reason, floor, held: heldVersion(board) };
-            events.append({ name: `readiness.${state}`, level: EventLevel.Info, fields });
+        if (state !== before.state || reason !== before.reason) {
+            const fields = { before: before.state, state, reason, floor, held: heldVersion(board) };
+            events.append({ name: "readiness.changed", level: EventLevel.Info, fields });
         }
     }
 
