--- a/packages/daemon/features/calls.feature
+++ b/packages/daemon/features/calls.feature
@@ -103,6 +103,19 @@
         When a call with a deadline of 80 ms waits in the socket of a daemon that is paused for 140 ms
         Then the call is refused as "deadlinePassed" and no backend server ran it
 
+    # Guards against deadlines that start when a connection is read, although it waited to be accepted before.
+    @not-run-is-true
+    Scenario: The first request of a connection counts as arrived before the connection was accepted
+        Given an event loop that is always busy, with turns that end at 100 and 200 ms
+        When a connection is accepted at 210 ms and the turn ends at 300 ms
+        Then its first request, read at 310 ms, counts as arrived at 100 ms, and the next one at 200 ms
+
+    @not-run-is-true
+    Scenario: A request that ends a wait of the event loop has arrived after that wait
+        Given an event loop that is always busy, with turns that end at 100 and 200 ms
+        When the loop waits from 200 ms for 500 ms
+        Then a request that is read at 705 ms counts as arrived at 700 ms
+
     @graceful-shutdown
     Scenario: Calls in flight finish while the daemon drains, and new calls are refused as not run
         Given a call deployment of 1 hosts
--- /dev/null
+++ b/packages/daemon/features/steps/arrivals.ts
@@ -0,0 +1,68 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import { createArrivals, type Arrivals } from "@tanagertray/daemon/adapters/calls/arrivals";
+import { createBoard } from "@tanagertray/daemon/board";
+import { resolveSettings } from "@tanagertray/daemon/settings/resolveSettings";
+import assert from "node:assert/strict";
+import { Socket } from "node:net";
+import { validSettings } from "./validSettings.js";
+
+interface World {
+    arrivals: Arrivals;
+    socket: Socket;
+    loop: { now: number; idleMs: number; tasks: (() => void)[] };
+}
+
+const anySocket = new Socket();
+
+function endTurn(world: World, at: number): void {
+    world.loop.now = at;
+    world.loop.tasks.splice(0).forEach(task => task());
+}
+
+Given(
+    "an event loop that is always busy, with turns that end at {int} and {int} ms",
+    function (this: World, first: number, second: number) {
+        const loop: World["loop"] = { now: 0, idleMs: 0, tasks: [] };
+        this.loop = loop;
+        this.socket = new Socket();
+        this.arrivals = createArrivals(createBoard(resolveSettings(validSettings()), 0), {
+            now: () => loop.now,
+            loop: { idleMs: () => loop.idleMs, atTurnEnd: task => loop.tasks.push(task) },
+        });
+        for (const at of [first, second]) {
+            this.arrivals.earliest(anySocket);
+            endTurn(this, at);
+        }
+    },
+);
+
+When(
+    "a connection is accepted at {int} ms and the turn ends at {int} ms",
+    function (this: World, acceptedAt: number, endsAt: number) {
+        this.loop.now = acceptedAt;
+        this.arrivals.noteConnection(this.socket);
+        endTurn(this, endsAt);
+    },
+);
+
+Then(
+    "its first request, read at {int} ms, counts as arrived at {int} ms, and the next one at {int} ms",
+    function (this: World, readAt: number, first: number, next: number) {
+        this.loop.now = readAt;
+        assert.equal(this.arrivals.earliest(this.socket), first);
+        assert.equal(this.arrivals.earliest(this.socket), next);
+    },
+);
+
+When("the loop waits from {int} ms for {int} ms", function (this: World, from: number, forMs: number) {
+    this.loop.now = from + forMs;
+    this.loop.idleMs += forMs;
+});
+
+Then(
+    "a request that is read at {int} ms counts as arrived at {int} ms",
+    function (this: World, readAt: number, arrivedAt: number) {
+        this.loop.now = readAt;
+        assert.equal(this.arrivals.earliest(this.socket), arrivedAt);
+    },
+);
--- a/packages/daemon/src/adapters/calls/createCalls.ts
+++ b/packages/daemon/src/adapters/calls/createCalls.ts
@@ -1,5 +1,6 @@
 import { callerLimits } from "@tanagertray/core";
 import type { IncomingMessage, RequestListener, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { Board } from "../../board.js";
 import type { Closeable } from "../../closeable.js";
 import { drainLimitMs, idleGraceMs } from "../../draining.js";
@@ -42,6 +43,8 @@
 export interface Calls extends Closeable {
     /** Handles calls that arrive from other daemons. */
     readonly handleHop: RequestListener;
+    /** Notes a connection at which calls of other daemons arrive, when its listener accepts it. */
+    readonly noteConnection: (socket: Socket) => void;
     /** Address and port of the callers' listener. */
     readonly port: number;
     /** Waits for the calls in flight, up to the drain limit of the services. */
@@ -65,7 +68,7 @@
         observations: createObservations(board),
         telemetry: createTelemetry(board, now),
         timers: createTimers(board, now),
-        arrivals: createArrivals(board, now),
+        arrivals: createArrivals(board, { now }),
         dialect,
         retryBudgets: createRetryBudgets(board.read("settings").retries),
         redirectBudgets: createRetryBudgets(redirectLimits),
@@ -96,6 +99,7 @@
     }
 
     const server = await openListener(board.read("settings").listen.calls, track(handleEntry));
+    server.on("connection", context.arrivals.noteConnection);
 
     function applyLimits(): void {
         const limits = callerLimits(board.read("configuration").held?.resources ?? new Map());
@@ -113,6 +117,7 @@
 
     return {
         handleHop: track(handleHop),
+        noteConnection: context.arrivals.noteConnection,
         port: (server.address() as { port: number }).port,
         async close() {
             const timer = setTimeout(
--- a/packages/daemon/src/adapters/calls/handleEntry.ts
+++ b/packages/daemon/src/adapters/calls/handleEntry.ts
@@ -30,6 +30,7 @@
     checkAdmitting,
     deadlineOf,
     deadlinePassed,
+    earliestArrival,
     openCancel,
     readEntryCall,
     type IncomingCall,
@@ -75,7 +76,8 @@
     response: ServerResponse,
 ): Promise<void> {
     const { telemetry, dialect } = context;
-    const checked = checkAdmitting(context).chain(() => readEntryCall(context, request));
+    const arrivedAt = earliestArrival(context, request);
+    const checked = checkAdmitting(context, arrivedAt).chain(() => readEntryCall(context, request));
     if (checked.isLeft()) {
         const refused = checked.extract() as Refusal;
         const callId = request.headers[dialect.callIdHeader];
@@ -86,7 +88,7 @@
     }
     const call = checked.unsafeCoerce();
     const { operation, service, partner } = call.matched;
-    const deadline = deadlineOf(context, call);
+    const deadline = deadlineOf(call, arrivedAt);
     const cancel = openCancel(context, response, deadline);
     const span = telemetry.startSpan("entry", call.head.own.get("traceparent"));
     const entry: EntryCall = {
--- a/packages/daemon/src/adapters/calls/handleHop.ts
+++ b/packages/daemon/src/adapters/calls/handleHop.ts
@@ -8,7 +8,14 @@
 import { ExchangeEnd } from "./exchange.js";
 import { responseHeaders } from "./headers.js";
 import { verifyHop } from "./hopToken.js";
-import { checkAdmitting, deadlineOf, openCancel, readHopCall, type IncomingCall } from "./incoming.js";
+import {
+    checkAdmitting,
+    deadlineOf,
+    earliestArrival,
+    openCancel,
+    readHopCall,
+    type IncomingCall,
+} from "./incoming.js";
 import { runLocally } from "./localCall.js";
 import type { Timer } from "./timers.js";
 import { answerNotRun, ownDialect } from "./ownDialect.js";
@@ -29,7 +36,8 @@
     request: IncomingMessage,
     response: ServerResponse,
 ): Promise<void> {
-    const checked = checkAdmitting(context)
+    const arrivedAt = earliestArrival(context, request);
+    const checked = checkAdmitting(context, arrivedAt)
         .chain(() => readHopCall(context, request))
         .chain(call => verify(context, call));
     if (checked.isLeft()) {
@@ -39,17 +47,17 @@
             close: refused.reason === RefusalReason.Draining,
         });
     }
-    await carry(context, checked.unsafeCoerce(), request, response);
+    await carry(context, { ...checked.unsafeCoerce(), arrivedAt }, request, response);
 }
 
 async function carry(
     context: CallContext,
-    { call, attemptId, callId }: VerifiedHop,
+    { call, attemptId, callId, arrivedAt }: VerifiedHop & { readonly arrivedAt: number },
     request: IncomingMessage,
     response: ServerResponse,
 ): Promise<void> {
     const { matched, head } = call;
-    const deadline = deadlineOf(context, call);
+    const deadline = deadlineOf(call, arrivedAt);
     const cancel = openCancel(context, response, deadline);
     const span = context.telemetry.startSpan("hop", head.own.get("traceparent"));
     const maxBytes = matched.operation.maxBodyBytes;
--- a/packages/daemon/src/adapters/calls/incoming.ts
+++ b/packages/daemon/src/adapters/calls/incoming.ts
@@ -35,8 +35,8 @@
 }
 
 /** Instant at which a call ends, counted from its arrival. */
-export function deadlineOf(context: CallContext, { matched, askedDeadlineMs }: IncomingCall): number {
-    return deadlineAt(earliestArrival(context), matched.operation.deadlineMs, askedDeadlineMs);
+export function deadlineOf({ matched, askedDeadlineMs }: IncomingCall, arrivedAt: number): number {
+    return deadlineAt(arrivedAt, matched.operation.deadlineMs, askedDeadlineMs);
 }
 
 const callIdPattern = /^[A-Za-z0-9._:-]{1,128}$/;
@@ -45,16 +45,17 @@
  * Earliest instant at which a request that is read now can have arrived. While the process is busy, and after a pause of
  * it, requests wait in the socket buffers, and their deadline runs meanwhile.
  */
-export function earliestArrival({ arrivals, board, now }: CallContext): number {
+export function earliestArrival({ arrivals, board, now }: CallContext, { socket }: IncomingMessage): number {
     const { now: tickedAt, pausedForMs } = board.read("clock");
     const lastTick = pausedForMs > stallMs ? tickedAt - pausedForMs : tickedAt;
-    return now() - lastTick > stallMs ? Math.min(lastTick, arrivals.earliest()) : arrivals.earliest();
+    const polledAt = arrivals.earliest(socket);
+    return now() - lastTick > stallMs ? Math.min(lastTick, polledAt) : polledAt;
 }
 
 /** Whether this host takes new calls. */
-export function checkAdmitting(context: CallContext): Either<Refusal, true> {
+export function checkAdmitting(context: CallContext, arrivedAt: number): Either<Refusal, true> {
     const { board, cancels } = context;
-    if (context.now() - earliestArrival(context) > longestPauseMs) {
+    if (context.now() - arrivedAt > longestPauseMs) {
         // The pause is seen here before the tick of the clock that fences the host.
         return Left(refusal(RefusalReason.NotReady));
     }
--- a/packages/daemon/src/start.ts
+++ b/packages/daemon/src/start.ts
@@ -82,6 +82,7 @@
     ];
     const calls = await createCalls(board, { dialect });
     const peerServer = await openListener(settings.listen.peer, calls.handleHop);
+    peerServer.on("connection", calls.noteConnection);
     let hopsClosed = Promise.resolve();
     const adapters = [
         createLog(board),
