fix(calls): a call is sent on until its earliest deadline and cancelled at the one counted from its read

Cause: counted from the earliest arrival, a route's time-out of 1,000 ms ended a call after 892 ms on a busy machine. The limit on the age of a head is taken back.

--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -22,7 +22,7 @@
 } from "@tanagertray/core";
 import type { Cancellation } from "./cancellation.js";
 import { capacityHeader, decodeCapacity } from "./capacityHeader.js";
-import { bodySilenceMs, hopConnections, hopSilenceMs, maxPreparedMs } from "./constants.js";
+import { bodySilenceMs, hopConnections, hopSilenceMs } from "./constants.js";
 import type { CallContext } from "./context.js";
 import { UnknownCause } from "./dialect.js";
 import { exchange, ExchangeEnd, type ExchangeResult, type ResponseSink } from "./exchange.js";
@@ -41,6 +41,7 @@
     readonly callId: string;
     readonly attemptId: string;
     readonly deadline: number;
+    readonly startBy: number;
     readonly selection: Selection;
     readonly body: BodyAttempt;
     readonly traceparent: string;
@@ -54,8 +55,6 @@
     readonly refusal?: Refusal;
     /** The other daemon itself said that the outcome is unknown, so asking it is useless. */
     readonly fateKnown: boolean;
-    /** This daemon itself came too late to write the call, which says nothing of the other host. */
-    readonly isLate?: boolean;
 }
 
 const failureByEnd = {
@@ -85,7 +84,7 @@
         if (reason === RefusalReason.WaitTooLong && tier !== Tier.OwnHost) {
             noteFull(seen, sameCalls(attempt.call.matched), retryAfterMs, context.now());
         }
-    } else if (outcome.failure !== undefined && attempt.control.reason !== callerLeft && !outcome.isLate) {
+    } else if (outcome.failure !== undefined && attempt.control.reason !== callerLeft) {
         noteFailure(seen, context.now());
         if (outcome.failure === AttemptFailure.NeverWritten) {
             // No connection could be opened, so the next calls would only spend the retry budget.
@@ -158,8 +157,6 @@
 ): Promise<AttemptOutcome> {
     const { call, body, selection } = attempt;
     let refused: { readonly reason: string; readonly retryAfterMs: number } | undefined;
-    let isLate = false;
-    const preparedAt = context.now();
 
     function onHead(status: number, raw: string[]): ResponseSink {
         const load = Number(headerValue(raw, "tanagertray-load") ?? Number.NaN);
@@ -191,13 +188,7 @@
         timers: context.timers,
         headSilenceMs: hopSilenceMs,
         bodySilenceMs,
-        mayWrite() {
-            // The head states the time that was left when it was made.
-            isLate =
-                remainingMs(attempt.deadline, context.now()) === 0 ||
-                context.now() - preparedAt > maxPreparedMs;
-            return !isLate;
-        },
+        mayWrite: () => remainingMs(attempt.startBy, context.now()) > 0,
         onInformation: () => body.commit(),
         onHead,
     });
@@ -213,7 +204,7 @@
         const known = refusal(relayedReason(reason), retryAfterMs);
         return { failure: AttemptFailure.Refused, refusal: known, fateKnown: true };
     }
-    return { ...ofResult(result, false), isLate };
+    return ofResult(result, false);
 }
 
 function ofResult(result: ExchangeResult, fateKnown: boolean): AttemptOutcome {
--- a/packages/daemon/src/adapters/calls/constants.ts
+++ b/packages/daemon/src/adapters/calls/constants.ts
@@ -17,11 +17,6 @@
 export const barMs = 30_000;
 /** Time to wait for an answer on a call's fate, in milliseconds. */
 export const fateWaitMs = 1_000;
-/**
- * Age of a hop's head, which states the deadline, up to which it may be written, in milliseconds. A new connection between
- * regions takes a quarter of it.
- */
-export const maxPreparedMs = 100;
 /** Connections to one other daemon. */
 export const hopConnections = 128;
 /** Idle time of pooled connections, in milliseconds; the listeners keep theirs for 30 s. */
--- a/packages/daemon/src/adapters/calls/handleEntry.ts
+++ b/packages/daemon/src/adapters/calls/handleEntry.ts
@@ -28,11 +28,11 @@
 import {
     callerLeft,
     checkAdmitting,
-    deadlineOf,
     deadlinePassed,
     earliestArrival,
     openCancel,
     readEntryCall,
+    timesOf,
     type IncomingCall,
 } from "./incoming.js";
 import { heldVersion } from "../../controllers/advertisement.js";
@@ -53,6 +53,7 @@
     readonly call: IncomingCall;
     readonly callId: string;
     readonly deadline: number;
+    readonly startBy: number;
     readonly body: RequestBody;
     readonly control: Cancellation;
     readonly response: ServerResponse;
@@ -88,13 +89,14 @@
     }
     const call = checked.unsafeCoerce();
     const { operation, service, partner } = call.matched;
-    const deadline = deadlineOf(call, arrivedAt);
+    const { deadline, startBy } = timesOf(context, call, arrivedAt);
     const cancel = openCancel(context, response, deadline);
     const span = telemetry.startSpan("entry", call.head.own.get("traceparent"));
     const entry: EntryCall = {
         call,
         callId: call.callId ?? randomUUID(),
         deadline,
+        startBy,
         body: createRequestBody(request, {
             hasBody: call.head.hasBody,
             maxBytes: operation.maxBodyBytes,
@@ -179,8 +181,8 @@
 }
 
 /** Whether too little time is left for another attempt. */
-function isOver({ now }: CallContext, { deadline }: EntryCall): boolean {
-    return remainingMs(deadline, now()) < leastAttemptMs;
+function isOver({ now }: CallContext, { startBy }: EntryCall): boolean {
+    return remainingMs(startBy, now()) < leastAttemptMs;
 }
 
 /** Takes the right to another attempt. One that reached no backend server costs the servers nothing. */
@@ -245,13 +247,14 @@
     selection: Selection,
     attemptId: string,
 ): Promise<AttemptOutcome> {
-    const { call, callId, deadline, response, control, traceparent } = entry;
+    const { call, callId, deadline, startBy, response, control, traceparent } = entry;
     const body = entry.body.open();
     const outcome = await makeAttempt(context, {
         call,
         callId,
         attemptId,
         deadline,
+        startBy,
         selection,
         body,
         traceparent,
--- a/packages/daemon/src/adapters/calls/handleHop.ts
+++ b/packages/daemon/src/adapters/calls/handleHop.ts
@@ -10,10 +10,10 @@
 import { verifyHop } from "./hopToken.js";
 import {
     checkAdmitting,
-    deadlineOf,
     earliestArrival,
     openCancel,
     readHopCall,
+    timesOf,
     type IncomingCall,
 } from "./incoming.js";
 import { runLocally } from "./localCall.js";
@@ -57,7 +57,7 @@
     response: ServerResponse,
 ): Promise<void> {
     const { matched, head } = call;
-    const deadline = deadlineOf(call, arrivedAt);
+    const { deadline, startBy } = timesOf(context, call, arrivedAt);
     const cancel = openCancel(context, response, deadline);
     const span = context.telemetry.startSpan("hop", head.own.get("traceparent"));
     const maxBytes = matched.operation.maxBodyBytes;
@@ -77,6 +77,7 @@
         callId,
         givenCallId: callId,
         deadline,
+        startBy,
         method: call.method,
         path: call.backendPath,
         headers: head.headers,
--- a/packages/daemon/src/adapters/calls/incoming.ts
+++ b/packages/daemon/src/adapters/calls/incoming.ts
@@ -34,9 +34,28 @@
     readonly route: string | undefined;
 }
 
-/** Instant at which a call ends, counted from its arrival. */
-export function deadlineOf({ matched, askedDeadlineMs }: IncomingCall, arrivedAt: number): number {
-    return deadlineAt(arrivedAt, matched.operation.deadlineMs, askedDeadlineMs);
+/** Until when a call may go on, in milliseconds since the epoch. */
+export interface CallTimes {
+    /** Its work is cancelled then. Counted from when it was read, so that a busy daemon does not cut it short. */
+    readonly deadline: number;
+    /** Nothing is sent on from then, because its caller may have left. Counted from its earliest arrival. */
+    readonly startBy: number;
+}
+
+export function timesOf(
+    context: CallContext,
+    { matched, askedDeadlineMs }: IncomingCall,
+    arrivedAt: number,
+): CallTimes {
+    const { deadlineMs } = matched.operation;
+    return {
+        deadline: deadlineAt(
+            Math.min(context.now(), lastTickBeforePause(context)),
+            deadlineMs,
+            askedDeadlineMs,
+        ),
+        startBy: deadlineAt(arrivedAt, deadlineMs, askedDeadlineMs),
+    };
 }
 
 const callIdPattern = /^[A-Za-z0-9._:-]{1,128}$/;
@@ -45,11 +64,15 @@
  * Earliest instant at which a request that is read now can have arrived. While the process is busy, and after a pause of
  * it, requests wait in the socket buffers, and their deadline runs meanwhile.
  */
-export function earliestArrival({ arrivals, board, now }: CallContext, { socket }: IncomingMessage): number {
+export function earliestArrival(context: CallContext, { socket }: IncomingMessage): number {
+    return Math.min(lastTickBeforePause(context), context.arrivals.earliest(socket));
+}
+
+/** Last tick of the clock before a pause of the process, or infinity when it was not paused. */
+function lastTickBeforePause({ board, now }: CallContext): number {
     const { now: tickedAt, pausedForMs } = board.read("clock");
     const lastTick = pausedForMs > stallMs ? tickedAt - pausedForMs : tickedAt;
-    const polledAt = arrivals.earliest(socket);
-    return now() - lastTick > stallMs ? Math.min(lastTick, polledAt) : polledAt;
+    return now() - lastTick > stallMs ? lastTick : Infinity;
 }
 
 /** Whether this host takes new calls. */
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -17,6 +17,8 @@
     /** Id that the caller itself gave; the backend server repeats it where the dialect says so. */
     readonly givenCallId: string | undefined;
     readonly deadline: number;
+    /** The call is not written from then, or is refused before. */
+    readonly startBy: number;
     readonly method: string;
     readonly path: string;
     readonly headers: readonly string[];
@@ -34,7 +36,7 @@
     call: LocalCall,
 ): Promise<Either<Refusal, ExchangeResult>> {
     const { service, partner, share } = call.matched;
-    const waitUntil = Math.min(call.deadline, context.now() + maxQueueMs);
+    const waitUntil = Math.min(call.startBy, context.now() + maxQueueMs);
     const { priority, latencyObjectiveMs } = call.matched;
     const objective = context.now() + latencyObjectiveMs;
     const operation = call.matched.operation.name;
@@ -57,8 +59,7 @@
     let refusedByServer: Refusal | undefined;
 
     function mayWrite(): boolean {
-        const leftMs = remainingMs(call.deadline, context.now());
-        if (leftMs === 0 || call.control.cancelled) {
+        if (remainingMs(call.startBy, context.now()) === 0 || call.control.cancelled) {
             refused = refusal(RefusalReason.DeadlinePassed);
             return false;
         }
