--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -82,7 +82,7 @@
         noteRefusal(seen, context.now(), { saturated: saysSaturated(reason), retryAfterMs });
         // The own host decides on each call without a hop.
         if (reason === RefusalReason.WaitTooLong && tier !== Tier.OwnHost) {
-            noteFull(seen, sameCalls(attempt.call.matched), retryAfterMs, context.now());
+            noteFull(seen, callGroup(attempt.call.matched), retryAfterMs, context.now());
         }
     } else if (outcome.failure !== undefined && attempt.control.reason !== callerLeft) {
         noteFailure(seen, context.now());
@@ -94,8 +94,8 @@
     return outcome;
 }
 
-/** Calls with the same text are of one operation and share the fair queue, so that a refusal of one holds for all. */
-export function sameCalls({ partner, operation }: MatchedCall): string {
+/** Key of the calls of one operation and one place in the fair queue: a refusal of one of them holds for all. */
+export function callGroup({ partner, operation }: MatchedCall): string {
     return `${partner}/${operation.name}`;
 }
 
--- a/packages/daemon/src/adapters/calls/handleEntry.ts
+++ b/packages/daemon/src/adapters/calls/handleEntry.ts
@@ -20,7 +20,7 @@
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Cancellation } from "./cancellation.js";
-import { makeAttempt, sameCalls, type AttemptOutcome } from "./attempt.js";
+import { makeAttempt, callGroup, type AttemptOutcome } from "./attempt.js";
 import { fateWaitMs, leastAttemptMs, maxRedirects } from "./constants.js";
 import type { CallContext } from "./context.js";
 import { UnknownCause } from "./dialect.js";
@@ -215,7 +215,7 @@
         random: context.random,
         coldStartMs: service.coldStartMs,
         excluded: entry.excluded,
-        operation: sameCalls(entry.call.matched),
+        operation: callGroup(entry.call.matched),
     };
     if (targets === undefined) {
         return undefined;
--- a/packages/daemon/src/adapters/calls/headers.ts
+++ b/packages/daemon/src/adapters/calls/headers.ts
@@ -101,7 +101,7 @@
 /** Value of the first header of that name, which is given in lower case. */
 export function headerValue(raw: readonly string[], name: string): string | undefined {
     for (let i = 0; i + 1 < raw.length; i += 2) {
-        // Names of the same length alone are worth lower case.
+        // Only names of the same length need to be compared in lower case.
         if (raw[i]?.length === name.length && raw[i]?.toLowerCase() === name) {
             return raw[i + 1];
         }
