fix(calls): a request may be as late as the last tick of the clock was

The wait that the event loop reports may hold time in which the process had no share of the processor. Change: no request counts as younger than the last tick was late.

--- a/packages/daemon/features/calls.feature
+++ b/packages/daemon/features/calls.feature
@@ -110,6 +110,12 @@
         When a connection is accepted at 210 ms and the turn ends at 300 ms
         Then its first request, read at 310 ms, counts as arrived at 100 ms, and the next one at 200 ms
 
+    # Guards against a process that is throttled while it waits for events: 101 calls were sent on late.
+    @not-run-is-true
+    Scenario: A request may be as late as the last tick of the clock was
+        When the last tick of the clock came 150 ms late
+        Then a request that the loop says has just arrived counts as arrived 150 ms before
+
     @not-run-is-true
     Scenario: A request that ends a wait of the event loop has arrived after that wait
         Given an event loop that is always busy, with turns that end at 100 and 200 ms
--- a/packages/daemon/features/steps/arrivals.ts
+++ b/packages/daemon/features/steps/arrivals.ts
@@ -1,12 +1,14 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { createArrivals, type Arrivals } from "@tanagertray/daemon/adapters/calls/arrivals";
-import { createBoard } from "@tanagertray/daemon/board";
+import { earliestArrival } from "@tanagertray/daemon/adapters/calls/incoming";
+import { createBoard, type Board } from "@tanagertray/daemon/board";
 import { resolveSettings } from "@tanagertray/daemon/settings/resolveSettings";
 import assert from "node:assert/strict";
 import { Socket } from "node:net";
 import { validSettings } from "./validSettings.js";
 
 interface World {
+    board: Board;
     arrivals: Arrivals;
     socket: Socket;
     loop: { now: number; idleMs: number; tasks: (() => void)[] };
@@ -66,3 +68,18 @@
         assert.equal(this.arrivals.earliest(this.socket), arrivedAt);
     },
 );
+
+When("the last tick of the clock came {int} ms late", function (this: World, lateMs: number) {
+    this.board = createBoard(resolveSettings(validSettings()), 0);
+    this.board.claimValue("clock").write({ now: 1_000, pausedForMs: lateMs });
+});
+
+Then(
+    "a request that the loop says has just arrived counts as arrived {int} ms before",
+    function (this: World, beforeMs: number) {
+        const readAt = 1_010;
+        const arrivals = { earliest: () => readAt, noteConnection: () => undefined, close: () => undefined };
+        const context = { arrivals, board: this.board, now: () => readAt };
+        assert.equal(earliestArrival(context, { socket: anySocket }), readAt - beforeMs);
+    },
+);
--- a/packages/daemon/src/adapters/calls/incoming.ts
+++ b/packages/daemon/src/adapters/calls/incoming.ts
@@ -64,12 +64,19 @@
  * Earliest instant at which a request that is read now can have arrived. While the process is busy, and after a pause of
  * it, requests wait in the socket buffers, and their deadline runs meanwhile.
  */
-export function earliestArrival(context: CallContext, { socket }: IncomingMessage): number {
-    return Math.min(lastTickBeforePause(context), context.arrivals.earliest(socket));
+export function earliestArrival(
+    context: Pick<CallContext, "arrivals" | "board" | "now">,
+    { socket }: Pick<IncomingMessage, "socket">,
+): number {
+    const { arrivals, board, now } = context;
+    // A process whose share of the processor is used up may stand still while it seems to wait for events; its timers
+    // are late by as much.
+    const lateAt = now() - board.read("clock").pausedForMs;
+    return Math.min(lastTickBeforePause(context), arrivals.earliest(socket), lateAt);
 }
 
 /** Last tick of the clock before a pause of the process, or infinity when it was not paused. */
-function lastTickBeforePause({ board, now }: CallContext): number {
+function lastTickBeforePause({ board, now }: Pick<CallContext, "board" | "now">): number {
     const { now: tickedAt, pausedForMs } = board.read("clock");
     const lastTick = pausedForMs > stallMs ? tickedAt - pausedForMs : tickedAt;
     return now() - lastTick > stallMs ? lastTick : Infinity;
