perf(configuration): parts in force are not checked again with each version

Cause: the host that reads a version from the store gets all its parts as new bytes. They replaced the equal bytes in force when the candidate was put together, so that each version of a storm of changes hashed and parsed some 300 parts that were checked before.

Change: the bytes in force and those kept come last and win. A scenario fails without the change.

--- a/packages/core/features/distribution.feature
+++ b/packages/core/features/distribution.feature
@@ -45,6 +45,12 @@
         Then each neighbour was asked once for each part, then the object store
         And version 2 is in force after the object store answered
 
+    Scenario: What a version shares with the one in force is not checked again
+        # Guards against hashing and reading hundreds of parts for each version of a storm of changes.
+        Given a distributing host that holds version 1
+        When it reads version 2 with all its parts from the object store
+        Then version 2 holds the very bytes of version 1 where they are equal
+
     @no-partial-version @in-force-everywhere
     Scenario Outline: A bad version with <reference> reference directly follows a good one
         # Guards against a host that keeps an old version because the head row names a bad one.
--- a/packages/core/features/steps/distribution.ts
+++ b/packages/core/features/steps/distribution.ts
@@ -217,6 +217,27 @@
     },
 );
 
+When("it reads version 2 with all its parts from the object store", function (this: World) {
+    const two = makeVersion(2);
+    const history = [two, this.one].map(({ hash }, i) => ({ version: 2 - i, manifestHash: hash }));
+    feed(this, { kind: InputKind.Head, head: { version: 2, manifestHash: two.hash, history } });
+    feed(this, {
+        kind: InputKind.StoredObject,
+        hash: two.hash,
+        bytes: canonicalBytes(two.manifest),
+        related: new Map(two.parts.map(({ hash, bytes }) => [hash, bytes])),
+    });
+});
+
+Then("version 2 holds the very bytes of version 1 where they are equal", function (this: World) {
+    const { manifest, parts } = this.host.held ?? assert.fail("no version is in force");
+    assert.equal(manifest.version, 2);
+    const before = new Map(this.one.parts.map(({ hash, bytes }) => [hash, bytes]));
+    const shared = [...parts].filter(([hash]) => before.has(hash));
+    assert.ok(shared.length > 0, "the versions share no part");
+    shared.forEach(([hash, bytes]) => assert.equal(bytes, before.get(hash), hash));
+});
+
 /** Feeds the head row and the objects that the host then reads. */
 function readHead(world: World): number {
     const waiting = [...feed(world, { kind: InputKind.Head, head: world.head }).reads];
--- a/packages/core/src/distribution/candidate.ts
+++ b/packages/core/src/distribution/candidate.ts
@@ -130,11 +130,12 @@
     source: { steps: readonly UpdateStep[]; parts: Parts; from: string | undefined },
 ): Distribution {
     const used = new Set(Object.values(manifest.entries).map(entry => entry.hash));
+    // The bytes held so far come last and so replace equal ones: they are checked already.
     const known = new Map([
-        ...(state.held?.parts ?? []),
-        ...state.kept.parts,
-        ...(state.candidate?.parts ?? []),
         ...source.parts,
+        ...(state.candidate?.parts ?? []),
+        ...state.kept.parts,
+        ...(state.held?.parts ?? []),
     ]);
     const parts = new Map([...known].filter(([hash]) => used.has(hash)));
     const forwarded = source.from === undefined ? partsToForward(state, manifest) : new Set<string>();
