fix(answers): a deadline above what calls keep is a mistake

Cause: the questionnaire allowed time-outs of up to an hour, calls are cut at 10 minutes, and two constants of the same name held the two limits. The route of a call between daemons had a third copy of the second.

Change: deadlines of operations and routes are checked against the limit of calls; the other durations have a limit of their own name. The drain time of a service that a host does not know is named as such. A start without a usable code cache says so in a log line.

--- a/packages/core/src/answers/answersRule.ts
+++ b/packages/core/src/answers/answersRule.ts
@@ -1,13 +1,14 @@
 import { RuleKind, type Rule } from "../checking/rule.js";
+import { maxDeadlineMs } from "../calls/deadline.js";
 import { Repetition } from "../configuration/resource.js";
 import { defaultLimits } from "../constants.js";
 import {
     maxCallers,
     maxColdStartMs,
     maxConnections,
-    maxDeadlineMs,
     maxDestinations,
     maxDrainSeconds,
+    maxDurationMs,
     maxHostNameLength,
     maxOperationBodyBytes,
     maxOperations,
@@ -87,7 +88,7 @@
     optional: {
         maxAttempts: whole(1, maxRouteAttempts, "backend servers"),
         timeoutMs: whole(1, maxDeadlineMs, "milliseconds"),
-        latencyObjectiveMs: whole(1, maxDeadlineMs, "milliseconds"),
+        latencyObjectiveMs: whole(1, maxDurationMs, "milliseconds"),
         priority: whole(0, maxPriority, ""),
     },
 };
@@ -98,8 +99,8 @@
     optional: {
         maxHeaderBytes: whole(1, defaultLimits.maxHeaderBytes, "bytes"),
         maxBodyBytes: whole(0, maxOperationBodyBytes, "bytes"),
-        headerTimeoutMs: whole(1, maxDeadlineMs, "milliseconds"),
-        idleTimeoutMs: whole(1, maxDeadlineMs, "milliseconds"),
+        headerTimeoutMs: whole(1, maxDurationMs, "milliseconds"),
+        idleTimeoutMs: whole(1, maxDurationMs, "milliseconds"),
     },
 };
 
--- a/packages/core/src/answers/constants.ts
+++ b/packages/core/src/answers/constants.ts
@@ -8,7 +8,8 @@
 export const maxConnections = 1_000_000;
 export const maxDrainSeconds = 3_600;
 export const maxColdStartMs = 3_600_000;
-export const maxDeadlineMs = 3_600_000;
+/** Time-outs of connections and latency objectives, in milliseconds. */
+export const maxDurationMs = 3_600_000;
 /** 64 GiB, for uploads of surveys and plans. */
 export const maxOperationBodyBytes = 68_719_476_736;
 export const minShare = 0.01;
--- a/packages/daemon/src/adapters/calls/hopRoute.ts
+++ b/packages/daemon/src/adapters/calls/hopRoute.ts
@@ -1,5 +1,6 @@
 import {
     internalPartner,
+    maxDeadlineMs,
     resourceName,
     ResourceKind,
     type MatchedCall,
@@ -10,8 +11,8 @@
 /** Header by which an entry daemon tells the route of a call that the target alone does not show. */
 export const routeHeader = "tanagertray-route";
 
-/** Longest deadline that a hop may name, in milliseconds; the entry daemon has applied that of the route. */
-const hopDeadlineMs = 600_000;
+/** Time for which calls of a service that is not known here may drain, in milliseconds: as long as a call may take. */
+const unknownServiceDrainMs = maxDeadlineMs;
 
 /** What the daemon of the backend server needs to know of the route. */
 interface RouteClaim {
@@ -73,7 +74,8 @@
             method: "",
             path: "",
             repeatable,
-            deadlineMs: hopDeadlineMs,
+            // The entry daemon has applied that of the route.
+            deadlineMs: maxDeadlineMs,
             maxBodyBytes: Infinity,
         },
         caller,
@@ -111,7 +113,7 @@
             name,
             slots: Infinity,
             connections: Infinity,
-            drainMs: hopDeadlineMs,
+            drainMs: unknownServiceDrainMs,
             coldStartMs: 0,
         }
     );
--- a/scripts/bundle/loader.cjs
+++ b/scripts/bundle/loader.cjs
@@ -17,14 +17,27 @@
     try {
         return readFileSync(file);
     } catch {
-        // A build that could not run the daemon has no cache; the start is only slower.
+        // A build that could not run the daemon has no cache; the start says so and is only slower.
         return undefined;
     }
 }
 
 exports.compileBundle = compileBundle;
 
+/** Says in the form of the daemon's own log why a start takes longer. */
+function logSlowStart(reason) {
+    const line = { time: new Date().toISOString(), level: "warn", event: "process.codeCacheUnused", reason };
+    process.stdout.write(`${JSON.stringify(line)}\n`);
+}
+
 if (require.main === module) {
     const bundle = join(__dirname, "daemon.cjs");
-    compileBundle(bundle, readFileSync(bundle, "utf8"), readCache(join(__dirname, "daemon.cache"))).run();
+    const cache = readCache(join(__dirname, "daemon.cache"));
+    const { script, run } = compileBundle(bundle, readFileSync(bundle, "utf8"), cache);
+    if (cache === undefined) {
+        logSlowStart("the build made none");
+    } else if (script.cachedDataRejected) {
+        logSlowStart("it was made by another V8 or with other flags");
+    }
+    run();
 }
