--- a/packages/core/src/answers/answersRule.ts
+++ b/packages/core/src/answers/answersRule.ts
@@ -1,5 +1,5 @@
-import { RuleKind, type Rule } from "../checking/rule.js";
 import { maxDeadlineMs } from "../calls/deadline.js";
+import { RuleKind, type Rule } from "../checking/rule.js";
 import { Repetition } from "../configuration/resource.js";
 import { defaultLimits } from "../constants.js";
 import {
--- a/scripts/bundle/bundle.mjs
+++ b/scripts/bundle/bundle.mjs
@@ -25,11 +25,11 @@
         "@tanagertray/core": "./packages/core/src/index.ts",
         "@tanagertray/daemon": "./packages/daemon/src/index.ts",
         undici: "./scripts/bundle/undici.cjs",
-        // The daemon speaks HTTP/1.1 only, and loading HTTP/2 takes a fifth of a start.
+        // The daemon speaks HTTP/1.1 only, so that a start need not load HTTP/2.
         "node:http2": "./scripts/bundle/noHttp2.cjs",
     },
     define: {
-        // The look-up of the native decoder takes a tenth of a start; control messages are few and small.
+        // Control messages are few and small, so that a start need not look for the native decoder.
         "process.env.MSGPACKR_NATIVE_ACCELERATION_DISABLED": JSON.stringify("true"),
     },
     plugins: [
