fix(calls): the end of a connection is not taken for the end of an answer

What callers saw: a cut answer that looked whole, and daemons whose process ended with their calls.

Cause: the end of a connection was left to the client library, which takes a reset for the end of an answer without a length. A count of resets for each address was meant to tell them apart, but it was lost when the connections were replaced after a silent deadline, which is when a backend server is in trouble; and a reset of another connection of the same address cut whole answers. Where the connection ended or was reset while the exchange was paused for a slow caller, the library's parser threw an assertion, which ended the process.

Change: a reset carries a code that the library does not take for an end, so the exchange fails like with any other error; the count is gone. Paused exchanges are resumed before the library learns of the end of a connection.

Evidence: the six scenarios of answerEnds.feature failed on the code before (completed instead of truncated, truncated instead of completed, assert(!this.paused) three times; the broken chunked one failed in its clean-up after the assertion) and pass now.

--- /dev/null
+++ b/packages/daemon/features/answerEnds.feature
@@ -0,0 +1,30 @@
+Feature: The end of a connection is not taken for the end of an answer
+
+    # Guards against a cut answer that passes as whole because the count of resets was lost with its pool.
+    @own-answer
+    Scenario: An answer without a length that is reset after its connections were replaced is not whole
+        Given a backend server that sends half an answer without a length
+        When its connections are replaced and the answer is reset
+        Then the exchange ends "truncated" with "first half"
+
+    # Guards against a reset of another connection that cuts a whole answer.
+    @own-answer
+    Scenario: An answer without a length is whole although another connection to its backend server was reset
+        Given a backend server that sends half an answer without a length
+        When another connection is reset and the answer ends
+        Then the exchange ends "completed" with "first half, second half"
+
+    # Guards against a daemon process that ends with the connection of an answer which a slow caller holds up.
+    @own-answer
+    Scenario Outline: An answer <framing> that <ends> while its caller reads slowly leaves the process running
+        Given a backend server that sends half an answer <framing>
+        And the caller reads nothing yet
+        When the answer <ends>
+        Then the exchange ends "<end>" with "<body>"
+
+        Examples:
+            | framing          | ends      | end       | body                    |
+            | without a length | ends      | completed | first half, second half |
+            | without a length | is reset  | truncated | first half              |
+            | in chunks        | is broken | truncated | first half              |
+            | in chunks        | is reset  | truncated | first half              |
--- /dev/null
+++ b/packages/daemon/features/steps/answerEnds.ts
@@ -0,0 +1,151 @@
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { createCancellation } from "@tanagertray/daemon/adapters/calls/cancellation";
+import {
+    exchange,
+    type ExchangeResult,
+    type ResponseSink,
+} from "@tanagertray/daemon/adapters/calls/exchange";
+import { createPools, type Pools } from "@tanagertray/daemon/adapters/calls/pools";
+import type { Timers } from "@tanagertray/daemon/adapters/calls/timers";
+import assert from "node:assert/strict";
+import { createServer, type AddressInfo, type Server, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { eventually } from "./callWorld.js";
+
+interface World {
+    answerEnds: {
+        readonly server: Server;
+        readonly sockets: Socket[];
+        readonly pools: Pools;
+        readonly address: string;
+        result: Promise<ExchangeResult>;
+        body: string;
+        isSlow: boolean;
+        resume: (() => void) | undefined;
+    };
+}
+
+const heads: Readonly<Record<string, string>> = {
+    "without a length": "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nfirst half",
+    "in chunks":
+        "HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\na\r\nfirst half\r\n",
+};
+
+const endings: Readonly<Record<string, (socket: Socket) => void>> = {
+    ends: socket => socket.end(", second half"),
+    "is broken": socket => socket.end(),
+    "is reset": socket => socket.resetAndDestroy(),
+};
+
+/** Time for bytes and resets on loopback to be noticed, in milliseconds. */
+const noticeMs = 50;
+
+/** Time for half an answer to arrive on a busy machine, in milliseconds. */
+const arrivalMs = 2_000;
+
+async function untilHalf(ends: World["answerEnds"]): Promise<void> {
+    assert.ok(await eventually(arrivalMs, () => ends.body === "first half"));
+}
+
+const timers: Timers = {
+    after(ms, task) {
+        const timer = setTimeout(task, ms);
+        return { cancel: () => clearTimeout(timer) };
+    },
+    close: () => undefined,
+};
+
+function send({ answerEnds: ends }: World): Promise<ExchangeResult> {
+    const sink: ResponseSink = {
+        write(chunk) {
+            ends.body += chunk.toString();
+            return !ends.isSlow;
+        },
+        onceWritable: resume => (ends.resume = resume),
+        end: () => undefined,
+    };
+    return exchange({
+        connections: ends.pools.get(ends.address, 4),
+        method: "GET",
+        path: "/",
+        headers: [],
+        body: null,
+        cancellation: createCancellation(),
+        timers,
+        headSilenceMs: 0,
+        bodySilenceMs: 5_000,
+        mayWrite: () => true,
+        onInformation: () => undefined,
+        onHead: () => sink,
+    });
+}
+
+Given(/^a backend server that sends half an answer (.+)$/, async function (this: World, framing: string) {
+    const sockets: Socket[] = [];
+    const server = createServer(socket => {
+        sockets.push(socket);
+        socket.on("error", () => undefined);
+        socket.once("data", () => socket.write(heads[framing] ?? ""));
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const pools = createPools(() => performance.now());
+    this.answerEnds = {
+        server,
+        sockets,
+        pools,
+        address,
+        result: new Promise(() => undefined),
+        body: "",
+        isSlow: false,
+        resume: undefined,
+    };
+    this.answerEnds.result = send(this);
+    await untilHalf(this.answerEnds);
+});
+
+Given("the caller reads nothing yet", async function (this: World) {
+    // The answer so far was read; another one starts, and its caller stops after the first part.
+    this.answerEnds.sockets[0]?.resetAndDestroy();
+    await this.answerEnds.result;
+    this.answerEnds.body = "";
+    this.answerEnds.isSlow = true;
+    this.answerEnds.result = send(this);
+    await untilHalf(this.answerEnds);
+});
+
+When("its connections are replaced and the answer is reset", function (this: World) {
+    this.answerEnds.pools.retire(this.answerEnds.address);
+    this.answerEnds.sockets[0]?.resetAndDestroy();
+});
+
+When("another connection is reset and the answer ends", async function (this: World) {
+    const { answerEnds: ends } = this;
+    const other = { ...ends, body: "", result: ends.result };
+    const lost = send({ answerEnds: other });
+    await untilHalf(other);
+    ends.sockets[1]?.resetAndDestroy();
+    assert.equal((await lost).end, "truncated");
+    ends.sockets[0]?.end(", second half");
+});
+
+When(/^the answer (ends|is broken|is reset)$/, async function (this: World, ending: string) {
+    endings[ending]?.(this.answerEnds.sockets.at(-1) as Socket);
+    await sleep(noticeMs);
+    this.answerEnds.resume?.();
+    await sleep(noticeMs);
+    this.answerEnds.resume?.();
+});
+
+Then("the exchange ends {string} with {string}", async function (this: World, end: string, body: string) {
+    assert.equal((await this.answerEnds.result).end, end);
+    assert.equal(this.answerEnds.body, body);
+});
+
+After(async function (this: Partial<World>) {
+    if (this.answerEnds !== undefined) {
+        this.answerEnds.sockets.forEach(socket => socket.destroy());
+        await this.answerEnds.pools.close();
+        await new Promise(resolve => this.answerEnds?.server.close(resolve));
+    }
+});
--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -178,10 +178,9 @@
     }
 
     const result = await exchange({
-        dispatcher: context.pools.get(selection.target.address, hopConnections),
+        connections: context.pools.get(selection.target.address, hopConnections),
         method: call.method,
         path: call.url,
-        resets: () => context.pools.resets(selection.target.address),
         headers: hopHeaders(context, attempt),
         body: body.chunks,
         cancellation: attempt.control,
--- a/packages/daemon/src/adapters/calls/exchange.ts
+++ b/packages/daemon/src/adapters/calls/exchange.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher } from "undici";
 import type { Cancellation } from "./cancellation.js";
+import type { Connections } from "./pools.js";
 import type { Timer, Timers } from "./timers.js";
 
 export const ExchangeEnd = {
@@ -21,7 +22,7 @@
 }
 
 export interface ExchangeOptions {
-    readonly dispatcher: Dispatcher;
+    readonly connections: Connections;
     readonly method: string;
     readonly path: string;
     readonly headers: string[];
@@ -37,8 +38,6 @@
     readonly onInformation: (status: number) => void;
     /** Without a sink the response is none of this call's, and its connection is discarded. */
     readonly onHead: (status: number, rawHeaders: string[]) => ResponseSink | undefined;
-    /** Number of connections to the address that were reset so far. */
-    readonly resets: () => number;
 }
 
 export interface ExchangeResult {
@@ -49,7 +48,6 @@
 }
 
 const foreign = new Error("the response belongs to another call or is malformed");
-const cutShort = new Error("the connection was reset before the end of the response");
 const silence = new Error("the connection made no progress within its limit");
 
 /** State of one exchange. */
@@ -60,9 +58,9 @@
     controller: Dispatcher.DispatchController | undefined;
     /** Set when a response head has been passed on. */
     sink: ResponseSink | undefined;
-    /** Resets before the head, when only the end of the connection ends the response. */
-    resetsBefore: number | undefined;
     settled: boolean;
+    /** Set when the response waited for its reader. */
+    resume: (() => void) | undefined;
     timer: Timer | undefined;
     cancel: () => void;
 }
@@ -75,8 +73,8 @@
             resolve,
             controller: undefined,
             sink: undefined,
-            resetsBefore: undefined,
             settled: false,
+            resume: undefined,
             timer: undefined,
             cancel: () => fail(progress, options.cancellation.reason as Error),
         };
@@ -85,7 +83,7 @@
         }
         options.cancellation.onCancel(progress.cancel);
         try {
-            options.dispatcher.dispatch(requestOf(options), createHandler(progress));
+            options.connections.dispatcher.dispatch(requestOf(options), createHandler(progress));
         } catch (error) {
             fail(progress, error as Error);
         }
@@ -109,6 +107,9 @@
     }
     progress.settled = true;
     progress.timer?.cancel();
+    if (progress.resume !== undefined) {
+        progress.options.connections.paused.delete(progress.resume);
+    }
     progress.options.cancellation.offCancel(progress.cancel);
     progress.resolve({ end, silent: error === silence, ...(error === undefined ? {} : { error }) });
 }
@@ -160,12 +161,6 @@
             if (progress.settled) {
                 return;
             }
-            // The client library takes a reset for the end of a response without a length.
-            const { resetsBefore } = progress;
-            if (resetsBefore !== undefined && options.resets() !== resetsBefore) {
-                fail(progress, cutShort);
-                return;
-            }
             progress.sink?.end();
             settle(progress, ExchangeEnd.Completed);
         },
@@ -187,33 +182,30 @@
         return;
     }
     progress.sink = sink;
-    progress.resetsBefore = isFramed(raw) ? undefined : options.resets();
     watch(progress, options.bodySilenceMs);
 }
 
-/** Whether the head says where the body ends. */
-function isFramed(raw: readonly string[]): boolean {
-    return raw.some((name, at) => at % 2 === 0 && framingHeaders.has(name.toLowerCase()));
-}
-
-const framingHeaders: ReadonlySet<string> = new Set(["content-length", "transfer-encoding"]);
-
 function passData(
     progress: Progress,
     sink: ResponseSink,
     started: Dispatcher.DispatchController,
     chunk: Buffer,
 ): void {
-    const { bodySilenceMs } = progress.options;
+    const { bodySilenceMs, connections } = progress.options;
     watch(progress, bodySilenceMs);
-    if (!sink.write(chunk)) {
-        progress.timer?.cancel();
-        started.pause();
-        sink.onceWritable(() => {
-            if (!progress.settled) {
-                watch(progress, bodySilenceMs);
-                started.resume();
-            }
-        });
+    // The parser reports an empty chunk when it resumes with nothing left to read.
+    if (chunk.length === 0 || sink.write(chunk)) {
+        return;
     }
+    const resume = () => {
+        if (connections.paused.delete(resume) && !progress.settled) {
+            watch(progress, bodySilenceMs);
+            started.resume();
+        }
+    };
+    progress.timer?.cancel();
+    started.pause();
+    connections.paused.add(resume);
+    progress.resume = resume;
+    sink.onceWritable(resume);
 }
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -73,7 +73,7 @@
 
     const startedAt = context.now();
     const result = await exchange({
-        dispatcher: context.pools.get(address, Math.min(service.connections, connections ?? Infinity)),
+        connections: context.pools.get(address, Math.min(service.connections, connections ?? Infinity)),
         method: call.method,
         path: call.path,
         headers: [
@@ -93,7 +93,6 @@
         bodySilenceMs,
         mayWrite,
         onInformation: () => undefined,
-        resets: () => context.pools.resets(address),
         onHead(status, raw) {
             context.pools.noteHeard(address);
             const verdict = context.dialect.judge({ status, raw, callId: call.givenCallId });
--- a/packages/daemon/src/adapters/calls/pools.ts
+++ b/packages/daemon/src/adapters/calls/pools.ts
@@ -1,27 +1,27 @@
-import { buildConnector, Pool } from "undici";
+import type { Socket } from "node:net";
+import { buildConnector, Pool, type Dispatcher } from "undici";
 import { connectTimeoutMs, poolIdleMs, poolUnusedMs } from "./constants.js";
 
-interface PoolEntry {
-    readonly pool: Pool;
+/** Connections to one address. They stay with an exchange that began on them, also when new calls get others. */
+export interface Connections {
+    readonly dispatcher: Dispatcher;
+    /** Resumes the exchanges that wait for a slow reader. */
+    readonly paused: Set<() => void>;
+}
+
+interface PoolEntry extends Connections {
+    readonly dispatcher: Pool;
     usedAt: number;
     /** When the last response head came, on any of its connections. */
     heardAt: number;
-    readonly failures: ConnectionFailures;
-}
-
-/** Connections of a pool that ended with an error. */
-interface ConnectionFailures {
-    count: number;
 }
 
 /** Connections to other daemons and to backend servers, by address. */
 export interface Pools {
-    get(address: string, connections: number): Pool;
+    get(address: string, connections: number): Connections;
     noteHeard(address: string): void;
     /** Whether a response head came from the address since then. */
     heardSince(address: string, instant: number): boolean;
-    /** Connections to the address that were reset so far. */
-    resets(address: string): number;
     /** Lets calls in flight finish on the old connections and gives new calls new connections. */
     retire(address: string): void;
     closeUnused(): void;
@@ -39,7 +39,7 @@
         const entry = entries.get(address);
         if (entry !== undefined) {
             entries.delete(address);
-            const done = entry.pool.close().finally(() => closing.delete(done));
+            const done = entry.dispatcher.close().finally(() => closing.delete(done));
             closing.add(done);
         }
     }
@@ -49,7 +49,7 @@
             const entry = entries.get(address) ?? openEntry(address, connections);
             entry.usedAt = now();
             entries.set(address, entry);
-            return entry.pool;
+            return entry;
         },
         noteHeard(address) {
             const entry = entries.get(address);
@@ -58,7 +58,6 @@
             }
         },
         heardSince: (address, instant) => (entries.get(address)?.heardAt ?? -Infinity) >= instant,
-        resets: address => entries.get(address)?.failures.count ?? 0,
         retire,
         closeUnused() {
             const limit = now() - poolUnusedMs;
@@ -76,19 +75,37 @@
 }
 
 function openEntry(address: string, connections: number): PoolEntry {
-    const failures: ConnectionFailures = { count: 0 };
+    const paused = new Set<() => void>();
     const connect = buildConnector({ timeout: connectTimeoutMs });
-    const pool = new Pool(`http://${address}`, {
+    const dispatcher = new Pool(`http://${address}`, {
         connections,
         pipelining: 1,
         keepAliveTimeout: poolIdleMs,
         keepAliveMaxTimeout: poolIdleMs,
         connect(options, callback) {
             connect(options, (...result) => {
-                result[1]?.prependListener("error", () => (failures.count += 1));
+                if (result[1] !== null) {
+                    guardEnd(result[1], paused);
+                }
                 callback(...result);
             });
         },
     });
-    return { pool, usedAt: 0, heardAt: -Infinity, failures };
+    return { dispatcher, paused, usedAt: 0, heardAt: -Infinity };
 }
+
+/**
+ * Corrects what the client library makes of the end of a connection. It takes a reset for the end of a response
+ * without a length, and it throws where the connection ends while its parser is paused.
+ */
+function guardEnd(socket: Socket, paused: ReadonlySet<() => void>): void {
+    socket.prependListener("error", (error: NodeJS.ErrnoException) => {
+        if (error.code === "ECONNRESET") {
+            error.code = resetCode;
+        }
+    });
+    socket.prependListener("end", () => [...paused].forEach(resume => resume()));
+}
+
+/** Code of a reset connection that the client library does not know, so that the exchange fails as with other errors. */
+const resetCode = "TANAGERTRAY_RESET";
