--- a/packages/daemon/features/answerEnds.feature
+++ b/packages/daemon/features/answerEnds.feature
@@ -28,3 +28,9 @@
             | without a length | is reset  | truncated | first half              |
             | in chunks        | is broken | truncated | first half              |
             | in chunks        | is reset  | truncated | first half              |
+
+    # Guards against a process that ends because a connection could not be opened.
+    Scenario: A call whose connection is refused was never written
+        Given a backend server that is gone
+        When a call is sent to it
+        Then the exchange ends "neverWritten" with ""
--- a/packages/daemon/features/steps/answerEnds.ts
+++ b/packages/daemon/features/steps/answerEnds.ts
@@ -80,7 +80,7 @@
     });
 }
 
-Given(/^a backend server that sends half an answer (.+)$/, async function (this: World, framing: string) {
+async function openServer(world: World, framing: string): Promise<void> {
     const sockets: Socket[] = [];
     const server = createServer(socket => {
         sockets.push(socket);
@@ -90,7 +90,7 @@
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
     const pools = createPools(() => performance.now());
-    this.answerEnds = {
+    world.answerEnds = {
         server,
         sockets,
         pools,
@@ -100,10 +100,23 @@
         isSlow: false,
         resume: undefined,
     };
+}
+
+Given(/^a backend server that sends half an answer (.+)$/, async function (this: World, framing: string) {
+    await openServer(this, framing);
     this.answerEnds.result = send(this);
     await untilHalf(this.answerEnds);
 });
 
+Given("a backend server that is gone", async function (this: World) {
+    await openServer(this, "");
+    await new Promise(resolve => this.answerEnds.server.close(resolve));
+});
+
+When("a call is sent to it", function (this: World) {
+    this.answerEnds.result = send(this);
+});
+
 Given("the caller reads nothing yet", async function (this: World) {
     // The answer so far was read; another one starts, and its caller stops after the first part.
     this.answerEnds.sockets[0]?.resetAndDestroy();
--- a/packages/daemon/src/adapters/calls/pools.ts
+++ b/packages/daemon/src/adapters/calls/pools.ts
@@ -84,7 +84,8 @@
         keepAliveMaxTimeout: poolIdleMs,
         connect(options, callback) {
             connect(options, (...result) => {
-                if (result[1] !== null) {
+                // A connection that could not be opened comes without a socket.
+                if (result[1]) {
                     guardEnd(result[1], paused);
                 }
                 callback(...result);
