fix(calls): a reset that arrives with data is not the end of an answer

What callers saw: 200 with the signature of a backend server and a short body, framed as whole.

Cause: libuv reports EOF instead of ECONNRESET where a reset is already known when the last data is read (it takes the hang-up of the poll for an end after a partial read). An answer without a length, or whose connection closes after it, then looked complete. A reset that came in a later turn of the event loop was noticed, so the scenario with 20 ms between data and reset passed.

Change: when a connection ends, the socket is asked for its peer, which only a connection that was not reset has, and the exchange fails as with other resets.

--- a/packages/daemon/features/answerEnds.feature
+++ b/packages/daemon/features/answerEnds.feature
@@ -7,6 +7,13 @@
         When its connections are replaced and the answer is reset
         Then the exchange ends "truncated" with "first half"
 
+    # Guards against a reset that the event loop reports as an end, because it comes together with data.
+    @own-answer
+    Scenario: An answer without a length is not whole when its last bytes and a reset arrive together
+        Given a backend server that sends half an answer without a length
+        When more of the answer and a reset arrive together
+        Then the exchange ends "truncated" with "first half, second half"
+
     # Guards against a reset of another connection that cuts a whole answer.
     @own-answer
     Scenario: An answer without a length is whole although another connection to its backend server was reset
--- a/packages/daemon/features/steps/answerEnds.ts
+++ b/packages/daemon/features/steps/answerEnds.ts
@@ -132,6 +132,18 @@
     this.answerEnds.sockets[0]?.resetAndDestroy();
 });
 
+When("more of the answer and a reset arrive together", function (this: World) {
+    const socket = this.answerEnds.sockets[0];
+    socket?.write(", second half");
+    socket?.resetAndDestroy();
+    blockFor(noticeMs);
+});
+
+/** Keeps the event loop from reading what arrives, as a busy process does. */
+function blockFor(ms: number): void {
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
+}
+
 When("another connection is reset and the answer ends", async function (this: World) {
     const { answerEnds: ends } = this;
     const other = { ...ends, body: "", result: ends.result };
--- a/packages/daemon/src/adapters/calls/exchange.ts
+++ b/packages/daemon/src/adapters/calls/exchange.ts
@@ -48,6 +48,7 @@
 }
 
 const foreign = new Error("the response belongs to another call or is malformed");
+const cutShort = new Error("the connection was reset before the end of the response");
 const silence = new Error("the connection made no progress within its limit");
 
 /** State of one exchange. */
@@ -161,6 +162,10 @@
             if (progress.settled) {
                 return;
             }
+            if (options.connections.isCut) {
+                fail(progress, cutShort);
+                return;
+            }
             progress.sink?.end();
             settle(progress, ExchangeEnd.Completed);
         },
--- a/packages/daemon/src/adapters/calls/pools.ts
+++ b/packages/daemon/src/adapters/calls/pools.ts
@@ -7,6 +7,8 @@
     readonly dispatcher: Dispatcher;
     /** Resumes the exchanges that wait for a slow reader. */
     readonly paused: Set<() => void>;
+    /** True while the end of a connection is reported that was reset. */
+    isCut: boolean;
 }
 
 interface PoolEntry extends Connections {
@@ -75,7 +77,6 @@
 }
 
 function openEntry(address: string, connections: number): PoolEntry {
-    const paused = new Set<() => void>();
     const connect = buildConnector({ timeout: connectTimeoutMs });
     const dispatcher = new Pool(`http://${address}`, {
         connections,
@@ -86,26 +87,41 @@
             connect(options, (...result) => {
                 // A connection that could not be opened comes without a socket.
                 if (result[1]) {
-                    guardEnd(result[1], paused);
+                    guardEnd(result[1], entry);
                 }
                 callback(...result);
             });
         },
     });
-    return { dispatcher, paused, usedAt: 0, heardAt: -Infinity };
+    const entry: PoolEntry = {
+        dispatcher,
+        paused: new Set(),
+        isCut: false,
+        usedAt: 0,
+        heardAt: -Infinity,
+    };
+    return entry;
 }
 
 /**
  * Corrects what the client library makes of the end of a connection. It takes a reset for the end of a response
  * without a length, and it throws where the connection ends while its parser is paused.
  */
-function guardEnd(socket: Socket, paused: ReadonlySet<() => void>): void {
+function guardEnd(socket: Socket, connections: Connections): void {
     socket.prependListener("error", (error: NodeJS.ErrnoException) => {
         if (error.code === "ECONNRESET") {
             error.code = resetCode;
         }
     });
-    socket.prependListener("end", () => [...paused].forEach(resume => resume()));
+    socket.prependListener("end", () => {
+        [...connections.paused].forEach(resume => resume());
+        // The event loop reports a reset that comes together with data as an end. Only a connection that was not reset
+        // still has a peer; the name is not asked for before, because the socket keeps it.
+        if (socket.remoteAddress === undefined) {
+            connections.isCut = true;
+            queueMicrotask(() => (connections.isCut = false));
+        }
+    });
 }
 
 /** Code of a reset connection that the client library does not know, so that the exchange fails as with other errors. */
