fix(membership): a departure outlives the daemon's knowledge of the backend server

Cause: the daemon had been started 0.5 s before and did not know the backend server yet (backendServer.unknown at 26.711 s), so the departure was acknowledged and dropped; a delayed announcement made it serve from 28.781 s until the next one said that it drains. The same holds for a backend server that left and whose lease ended before a delayed announcement came.

Change: departures are remembered by id for 30 s after the last word of the backend server, also of unknown ones, and hold for every start that is not newer.

Three of the four new scenarios failed on the code before (serving instead of draining); the fourth bounds the memory and passes on both.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -46,6 +46,7 @@
 export * from "./membership/topology.js";
 export * from "./messages/peerMessage.js";
 export * from "./admission/backendServer.js";
+export * from "./admission/departures.js";
 export * from "./joining/readiness.js";
 export * from "./telemetry/event.js";
 export * from "./telemetry/span.js";
--- a/packages/daemon/features/backendServers.feature
+++ b/packages/daemon/features/backendServers.feature
@@ -22,6 +22,37 @@
         When backend server "s1" starts anew
         Then backend server "s1" is "serving"
 
+    # Guards against work for a backend server that left while the daemon, just restarted, did not know it yet.
+    @leaving-gets-no-work
+    Scenario: A backend server that left before its first announcement came is not used
+        Given the clock reads 5000 ms
+        When backend server "s1" is drained by command
+        And backend server "s1" announces itself with counter 7 as "serving"
+        Then backend server "s1" is "draining"
+        When backend server "s1" starts anew at 6000 ms
+        Then backend server "s1" is "serving"
+
+    # Guards against a delayed announcement that brings back a backend server whose lease ended after it left.
+    @leaving-gets-no-work
+    Scenario Outline: A delayed announcement does not bring back a backend server that <left>
+        When backend server "s1" announces itself with counter 1 as "serving"
+        And backend server "s1" <left>
+        Then no backend servers are known at 3101 ms
+        When backend server "s1" announces itself with counter 2 as "serving"
+        Then backend server "s1" is "draining"
+
+        Examples:
+            | left                                           |
+            | is drained by command                          |
+            | announces itself with counter 3 as "draining"  |
+
+    Scenario: Departures are forgotten 30 s after the last word of the backend server
+        Given the clock reads 5000 ms
+        When backend server "s1" is drained by command
+        Then no backend servers are known at 35001 ms
+        When backend server "s1" announces itself with counter 1 as "serving"
+        Then backend server "s1" is "serving"
+
     Scenario: Malformed announcements and commands for unknown backend servers are reported and ignored
         When malformed backend server announcements arrive
         And backend server "s9" is drained by command
--- a/packages/daemon/features/steps/backendServers.ts
+++ b/packages/daemon/features/steps/backendServers.ts
@@ -63,6 +63,14 @@
     await append(this, announcementOf(id, { incarnation: 2 }));
 });
 
+Given("the clock reads {int} ms", async function (this: World, now: number) {
+    await knownAt(this, now);
+});
+
+When("backend server {string} starts anew at {int} ms", async function (this: World, id: string, at: number) {
+    await append(this, announcementOf(id, { incarnation: at }));
+});
+
 When("backend server {string} is drained by command", async function (this: World, id: string) {
     await append(this, { kind: "drain", id });
 });
--- a/packages/daemon/src/controllers/backendServers.ts
+++ b/packages/daemon/src/controllers/backendServers.ts
@@ -2,11 +2,15 @@
     BackendServerState,
     EventLevel,
     hasLease,
+    isLeaving,
     isNewerAnnouncement,
     maxBackendServers,
+    maxDepartures,
     readAnnouncement,
+    recentDepartures,
     type Announcement,
     type BackendServer,
+    type Departure,
     type DrainCommand,
     type Event,
 } from "@tanagertray/core";
@@ -17,6 +21,7 @@
 export function createBackendServers(board: Board): Closeable {
     const servers = board.claimValue("backendServers");
     const events = board.claimFeed("backendServerEvents");
+    let departures: ReadonlyMap<string, Departure> = new Map();
 
     function take(entry: Announcement | DrainCommand): void {
         if (typeof entry === "object" && entry !== null && "kind" in entry) {
@@ -43,7 +48,12 @@
         if (rivals.some(({ incarnation }) => incarnation > announcement.incarnation)) {
             return warn("backendServer.late", { id: announcement.id, address: announcement.address });
         }
-        const server = merge(announcement, known, board.read("clock").now);
+        const departure = departures.get(announcement.id);
+        const left = isLeaving(departure, announcement) ? departure : undefined;
+        const server = merge(announcement, { known, left, now: board.read("clock").now });
+        if (server.drainingSince !== undefined) {
+            noteDeparture(server.id, { since: server.drainingSince, incarnation: server.incarnation });
+        }
         const replaced = rivals.filter(({ incarnation }) => incarnation < announcement.incarnation);
         const others = [...current].filter(([id]) => !replaced.some(rival => rival.id === id));
         servers.write(new Map(others).set(server.id, server));
@@ -54,17 +64,30 @@
     function takeDrain({ id }: DrainCommand): void {
         const known = board.read("backendServers").get(id);
         if (known === undefined) {
+            // Its announcements may be on their way, as after a restart of this daemon.
+            noteDeparture(id, { since: board.read("clock").now, incarnation: undefined });
             return warn("backendServer.unknown", { id });
         }
         const drainingSince = known.drainingSince ?? board.read("clock").now;
+        noteDeparture(id, { since: drainingSince, incarnation: known.incarnation });
         const server = { ...known, state: BackendServerState.Draining, drainingSince };
         servers.update(current => new Map(current).set(id, server));
         reportChange(server, known);
     }
 
+    function noteDeparture(id: string, departure: Departure): void {
+        if (departures.size >= maxDepartures && !departures.has(id)) {
+            const [oldest] = departures.keys();
+            departures = new Map([...departures].filter(([other]) => other !== oldest));
+            warn("backendServer.departureForgotten", { id: oldest, limit: maxDepartures });
+        }
+        departures = new Map(departures).set(id, departure);
+    }
+
     function dropSilent(): void {
         const { now } = board.read("clock");
         const current = board.read("backendServers");
+        departures = recentDepartures(departures, current, now);
         const alive = [...current].filter(([, server]) => hasLease(server, now));
         if (alive.length < current.size) {
             servers.write(new Map(alive));
@@ -90,11 +113,18 @@
     return { close: () => subscriptions.forEach(subscription => subscription.close()) };
 }
 
+interface MergeInput {
+    readonly known: BackendServer | undefined;
+    /** Departure of the start that announces itself. */
+    readonly left: Departure | undefined;
+    readonly now: number;
+}
+
 /** A drain holds for the rest of the incarnation, whatever the backend server announces later. */
-function merge(announcement: Announcement, known: BackendServer | undefined, now: number): BackendServer {
+function merge(announcement: Announcement, { known, left, now }: MergeInput): BackendServer {
     const same = known?.incarnation === announcement.incarnation ? known : undefined;
     const draining = announcement.state === BackendServerState.Draining;
-    const drainingSince = same?.drainingSince ?? (draining ? now : undefined);
+    const drainingSince = same?.drainingSince ?? left?.since ?? (draining ? now : undefined);
     return {
         ...announcement,
         announcedAt: now,
