--- /dev/null
+++ b/packages/standin/src/siteServerMain.ts
@@ -0,0 +1,52 @@
+#!/usr/bin/env node
+import { parseArgs } from "node:util";
+import { startSiteServer, type AnswerMode } from "./site/siteServer.js";
+
+/** What the parent process asks of this one over the channel between them. */
+export interface SiteServerCommand {
+    readonly command: "drain" | "leave" | "setMode";
+    readonly mode?: AnswerMode;
+}
+
+/** What this process reports over the channel. */
+export type SiteServerReport =
+    | { readonly event: "started"; readonly address: string }
+    | { readonly event: "run"; readonly id: string; readonly url: string }
+    | { readonly event: "acknowledged"; readonly status: number };
+
+const { values } = parseArgs({
+    options: {
+        id: { type: "string", default: "" },
+        service: { type: "string", default: "" },
+        daemon: { type: "string", default: "" },
+        port: { type: "string", default: "0" },
+        "work-ms": { type: "string", default: "0" },
+        "beat-ms": { type: "string", default: "200" },
+    },
+});
+
+function report(event: SiteServerReport): void {
+    process.send?.(event);
+}
+
+const server = await startSiteServer({
+    id: values.id,
+    service: values.service,
+    daemon: values.daemon,
+    port: Number(values.port),
+    workMs: Number(values["work-ms"]),
+    beatMs: Number(values["beat-ms"]),
+    onRun: ({ id, url }) => report({ event: "run", id, url }),
+});
+report({ event: "started", address: server.address });
+
+const handlers = {
+    drain: () => server.drain(),
+    leave: () => server.leave(),
+    setMode: ({ mode }) => Promise.resolve(mode === undefined ? 0 : (server.setMode(mode), 0)),
+} satisfies Record<SiteServerCommand["command"], (command: SiteServerCommand) => Promise<number>>;
+
+process.on("message", (command: SiteServerCommand) => {
+    void handlers[command.command](command).then(status => report({ event: "acknowledged", status }));
+});
+process.once("disconnect", () => process.exit(0));
