fix(membership): hosts that found nobody read the domain rows again at once

Cause: a host read the rows with the first addresses once, and again only 10 s later, also when the read had failed or all listed hosts were gone. After a loss of power on all hosts with the store away for 3 s, nobody knew another host for more than 10 s, so each served only its own backend server.

Change: a read that was not answered is repeated after 1 s, one whose addresses brought no link after 4 s, both doubling up to 10 s with jitter. A relay whose row no longer lists what it should reads it 10 s after the last read instead of 30 s.

--- a/packages/daemon/src/controllers/domainRow.ts
+++ b/packages/daemon/src/controllers/domainRow.ts
@@ -6,6 +6,7 @@
     PlatformOperation,
     type PlatformReply,
 } from "@tanagertray/core";
+import { backoffMs } from "../backoff.js";
 import type { Board } from "../board.js";
 import type { Closeable } from "../closeable.js";
 
@@ -17,6 +18,13 @@
 const rereadMs = 500;
 /** Spread of the first read of a starting host, in milliseconds. */
 const joinJitterMs = 500;
+/** First wait after a read that was not answered, in milliseconds; doubles up to the period of a host with too few links. */
+const firstRetryMs = 1_000;
+/**
+ * First wait after a read whose addresses brought no link, in milliseconds; doubles likewise. Covers the spread of the
+ * first connects and a handshake with a host that does not answer.
+ */
+const firstRereadMs = 4_000;
 /** Prefix of the keys of the rows. */
 const domainPrefix = "domain/";
 /** Longest address that is taken from the row. */
@@ -41,15 +49,22 @@
     let sequence = 0;
     let pendingRead: string | undefined;
     let pendingWrite: string | undefined;
-    /** Reads in a row after which this host still had no link. */
+    /** Answered reads in a row at which this host still had no link. */
     let readsWithoutLink = 0;
+    /** Reads in a row that were not answered. */
+    let failedReads = 0;
+    let readAt = 0;
+    let listedLast: readonly string[] = [];
+    let composition = -1;
 
     function readWhenDue(): void {
         const { now } = board.read("clock");
         const isLonely = board.read("peerLinks").size < fewLinks;
+        readSoonerWhenOutdated();
         if (now < nextAt || !(isLonely || board.read("topology").domainRelay)) {
             return;
         }
+        readAt = now;
         nextAt = now + (isLonely ? domainRowPeriodMs : relayPeriodMs);
         pendingRead = nextId();
         const request = { operation: PlatformOperation.ListRows, prefix: domainPrefix } as const;
@@ -65,7 +80,10 @@
             return;
         }
         pendingRead = undefined;
-        if (result.answer === PlatformAnswer.Rows) {
+        failedReads = result.answer === PlatformAnswer.Rows ? 0 : failedReads + 1;
+        if (result.answer !== PlatformAnswer.Rows) {
+            readAgain(firstRetryMs, failedReads);
+        } else {
             addresses.write(
                 new Map(
                     result.rows.map(({ key: found, row }) => [
@@ -79,11 +97,29 @@
         }
     }
 
+    /** After a start the first row lists few hosts. A loss of all of them would leave the others to the next slow read. */
+    function readSoonerWhenOutdated(): void {
+        const { composition: current, self, records } = board.read("membership");
+        if (current === composition || !board.read("topology").domainRelay) {
+            return;
+        }
+        composition = current;
+        const wanted = chooseDomainAddresses(self, records.values(), listedLast, false);
+        if (wanted.join() !== listedLast.join()) {
+            nextAt = Math.min(nextAt, readAt + domainRowPeriodMs);
+        }
+    }
+
     /** A conflict means that another relay wrote; the next read shows what. */
     function writeIfChanged(listed: readonly string[], expectedTag: string | undefined): void {
         const { self, records } = board.read("membership");
         readsWithoutLink = board.read("peerLinks").size === 0 ? readsWithoutLink + 1 : 0;
         const unreachable = readsWithoutLink > 1;
+        listedLast = listed;
+        if (readsWithoutLink > 0 && listed.some(address => address !== self.peerAddress)) {
+            // The listed hosts may have gone for good, and others may have listed themselves since.
+            readAgain(firstRereadMs, readsWithoutLink);
+        }
         const wanted = chooseDomainAddresses(self, records.values(), listed, unreachable);
         const isKeeper = board.read("topology").domainRelay && self.state === HostState.Alive;
         if (!isKeeper || wanted.join() === listed.join()) {
@@ -98,6 +134,11 @@
         });
     }
 
+    function readAgain(firstMs: number, attempts: number): void {
+        const delayMs = backoffMs(attempts, { firstMs, longestMs: domainRowPeriodMs, random });
+        nextAt = Math.min(nextAt, board.read("clock").now + delayMs);
+    }
+
     function nextId(): string {
         sequence += 1;
         return `domain-row-${sequence}`;
