fix(membership): a host that the store turns away is dialled after a loss of power

Cause: relays dialled addresses of other domains' rows that no live record names, but of their own domain only hosts that they remembered. When all hosts had restarted, nobody remembered the host that the store turned away, and the row, which listed live hosts only, dropped its address.

In a domain of more hosts than the row has places, a host that is not listed still has to wait for the store.

Before: "not served within 9866 ms: h1 v2: 503".

--- a/packages/core/src/membership/domainAddresses.ts
+++ b/packages/core/src/membership/domainAddresses.ts
@@ -9,6 +9,8 @@
  * The addresses that the row of a failure domain should list, seen from one of its relays. A host that knows no
  * other member leaves a filled row alone, because it may just not have reached the others; once it has found
  * the listed hosts unreachable, it puts itself first, so that members of a restarted domain find each other.
+ * Addresses without a live record keep the places that are left: the platform may turn away the host there, which
+ * then knows nobody and has to be dialled.
  */
 export function chooseDomainAddresses(
     self: HostRecord,
@@ -26,7 +28,9 @@
         const others = listed.filter(address => address !== self.peerAddress);
         return unreachable ? [self.peerAddress, ...others].slice(0, maxDomainAddresses) : listed;
     }
-    return rendezvous(`row/${self.failureDomain}`, members.keys(), maxDomainAddresses)
+    const chosen = rendezvous(`row/${self.failureDomain}`, members.keys(), maxDomainAddresses)
         .map(host => members.get(host) ?? "")
         .sort();
+    const known = new Set(members.values());
+    return [...chosen, ...listed.filter(address => !known.has(address))].slice(0, maxDomainAddresses);
 }
