fix(joining): a stale head row is not believed before the peers could object

Cause: a starting host took its head row as current once all linked peers had answered, also when they held nothing, or 1 s after its start, also when no link was open yet. After a loss of power on all hosts the peers know nothing when they answer, and links of a busy machine open later than 1 s. Versions in heartbeats and announcements did not count.

Change: an answer counts only when a peer holds a version; without one the peers have 1 s from the first link, and a host that knows addresses but has no link waits up to 5 s after its start. Versions in heartbeats and announcements of peers raise the floor of a starting host.

The two new scenarios of joining.feature fit the decision without time.

Tests: the steps of joining.feature name the new fact, and a ready host is decided first at its start, because its link now counts from then; what is expected of it is unchanged. The fleet model takes heartbeats as the controller does.

--- a/packages/core/features/joining.feature
+++ b/packages/core/features/joining.feature
@@ -25,6 +25,29 @@
         When its lagging peer and its current peer answer in the order "lagging first"
         Then the joining host is "joining" with floor 7
 
+    @no-older-version @stale-read @herd-death
+    Scenario: Peers that hold nothing do not confirm a stale head row
+        # Guards against hosts that all restarted at once and confirm each other's stale reads by answers that know nothing.
+        Given a joining host while the platform is down
+        When the joining host reads head version 5 and gets version 5 after 50 ms
+        And its peers answer that they hold nothing
+        Then the joining host is "joining" with floor 5
+        When a peer of the joining host announces version 7
+        Then the joining host is "joining" with floor 7
+
+    @no-older-version @stale-read @herd-death
+    Scenario: A stale head row does not admit a host before it has reached the peers that it knows of
+        # Guards against a busy start whose links open only after the time for the peers' answers.
+        Given a joining host while the platform is down
+        When the joining host has no link but knows of other hosts
+        And the joining host reads head version 5 and gets version 5 after 4000 ms
+        Then the joining host is "joining" with floor 5
+        When the joining host gets its links after 4200 ms
+        And the joining host gets version 5 after 4900 ms
+        Then the joining host is "joining" with floor 5
+        When the joining host gets version 5 after 5000 ms
+        Then the joining host is "ready" with floor 5
+
     Scenario: The version of the head row is enough when the peers are silent
         # Guards against a lone host that never serves.
         Given a joining host while the platform is down
--- a/packages/core/features/steps/joining.ts
+++ b/packages/core/features/steps/joining.ts
@@ -5,6 +5,7 @@
     MessageKind,
     startJoining,
     takeConfirmation,
+    takePeerVersion,
     takeWatermark,
     type Joining,
     type ReadinessFacts,
@@ -38,6 +39,7 @@
         headReadAt: undefined,
         reachable: false,
         linkedHosts: ["lagging", "current"],
+        expectsPeers: true,
         shutdownRequested: false,
     };
     decide(this, {});
@@ -60,6 +62,25 @@
     },
 );
 
+When("its peers answer that they hold nothing", function (this: World) {
+    this.facts.linkedHosts.forEach(host => answer(this, host, 0, 0));
+    decide(this, {});
+});
+
+When("a peer of the joining host announces version {int}", function (this: World, version: number) {
+    this.joining = takePeerVersion(this.joining, version, this.facts.now);
+    decide(this, {});
+});
+
+When("the joining host has no link but knows of other hosts", function (this: World) {
+    this.joining = startJoining(start);
+    decide(this, { linkedHosts: [], expectsPeers: true });
+});
+
+When("the joining host gets its links after {int} ms", function (this: World, ms: number) {
+    decide(this, { linkedHosts: ["lagging", "current"], now: start + ms });
+});
+
 When("the joining host gets version {int} after {int} ms", function (this: World, held: number, ms: number) {
     decide(this, { held, now: start + ms });
 });
@@ -96,16 +117,18 @@
 Given("a ready host that holds version {int}", function (this: World, held: number) {
     this.joining = startJoining(start);
     this.facts = {
-        now: start + 2_000,
+        now: start,
         pausedForMs: 0,
         held,
         head: held,
         headReadAt: start + 1_500,
         reachable: true,
         linkedHosts: ["current"],
+        expectsPeers: true,
         shutdownRequested: false,
     };
     decide(this, {});
+    decide(this, { now: start + 2_000 });
     assert.equal(this.joining.readiness.state, "ready");
 });
 
--- a/packages/core/features/support/fleet.ts
+++ b/packages/core/features/support/fleet.ts
@@ -13,7 +13,7 @@
     servableVersion,
     startAcceptance,
     startSubmission,
-    takeConfirmation,
+    takePeerVersion,
     takeWatermark,
     type DistributionInput,
     type Head,
@@ -127,7 +127,7 @@
         }
         if (message.kind === MessageKind.Heartbeat) {
             host.watermarks.set(from, Math.max(message.version, host.watermarks.get(from) ?? 0));
-            host.joining = takeConfirmation(host.joining, message.version, now);
+            host.joining = takePeerVersion(host.joining, message.version, now);
         } else if (message.kind === MessageKind.WatermarkRequest) {
             const version = host.watermarks.get(message.host) ?? 0;
             const answer = { host: message.host, version, incarnation: 1, held: held(host) };
@@ -233,7 +233,7 @@
         const servable = head && servableVersion(head, host.state.rejectedHashes);
         const facts = {
             ...{ now, pausedForMs, held: held(host), head: servable, headReadAt, reachable },
-            ...{ linkedHosts: [...host.state.links.keys()], shutdownRequested: false },
+            ...{ linkedHosts: [...host.state.links.keys()], expectsPeers: true, shutdownRequested: false },
         };
         const asked = hostsToAsk(decideReadiness(host.joining, facts), facts);
         host.joining = asked.joining;
--- a/packages/core/src/joining/readiness.ts
+++ b/packages/core/src/joining/readiness.ts
@@ -42,6 +42,8 @@
     readonly headReadAt: number | undefined;
     readonly reachable: boolean;
     readonly linkedHosts: readonly string[];
+    /** Whether addresses are known at which other hosts may be. */
+    readonly expectsPeers: boolean;
     readonly shutdownRequested: boolean;
 }
 
@@ -54,6 +56,8 @@
     /** Highest version that a peer holds. */
     readonly peersHeld: number;
     readonly answeredBy: ReadonlySet<string>;
+    /** Time since which this host has had a link; `undefined` without one. */
+    readonly linkedAt: number | undefined;
     /** Time of the last request to each peer. */
     readonly askedAt: ReadonlyMap<string, number>;
     /** End of the last long pause. */
@@ -78,6 +82,7 @@
         ownWatermark: 0,
         peersHeld: 0,
         answeredBy: new Set(),
+        linkedAt: undefined,
         askedAt: new Map(),
         resumedAt: 0,
         confirmation: undefined,
@@ -100,6 +105,15 @@
     return takeConfirmation(noted, answer.held, receivedAt);
 }
 
+/**
+ * Takes the version that a peer holds, from its heartbeat or announcement. A starting host counts it like an answer of
+ * that peer, because the peer may have learned the version after it answered.
+ */
+export function takePeerVersion(joining: Joining, version: number, receivedAt: number): Joining {
+    const noted = version > joining.peersHeld ? { ...joining, peersHeld: version } : joining;
+    return takeConfirmation(noted, version, receivedAt);
+}
+
 /** Takes the version that a peer or the head row reported, which confirms the held version after a pause. */
 export function takeConfirmation(joining: Joining, version: number, receivedAt: number): Joining {
     const isFresh = receivedAt >= joining.resumedAt + bufferedMessagesMs;
@@ -110,7 +124,7 @@
 
 /** Decides anew from the current facts. */
 export function decideReadiness(joining: Joining, facts: ReadinessFacts): Joining {
-    const resumed = notePause(joining, facts);
+    const resumed = noteLinks(notePause(joining, facts), facts);
     const confirmed =
         facts.headReadAt === undefined
             ? resumed
@@ -144,6 +158,11 @@
     return { ...joining, readiness, resumedAt: facts.now, confirmation: undefined, askedAt: new Map() };
 }
 
+function noteLinks(joining: Joining, { linkedHosts, now }: ReadinessFacts): Joining {
+    const linkedAt = linkedHosts.length > 0 ? (joining.linkedAt ?? now) : undefined;
+    return linkedAt === joining.linkedAt ? joining : { ...joining, linkedAt };
+}
+
 function floorOf(joining: Joining, facts: ReadinessFacts): number {
     return isPatient(joining, facts)
         ? Math.max(facts.head ?? 0, joining.ownWatermark, joining.peersHeld)
@@ -190,10 +209,18 @@
         : wait("the head row was not read");
 }
 
-/** A read of the head row may be stale, so the peers get a short time to report a higher version. */
+/**
+ * A read of the head row may be stale, so the peers get a short time to report a higher version. Answers of peers that
+ * hold nothing say nothing: after a loss of power everywhere all peers start at once.
+ */
 function peersHadTime(joining: Joining, facts: ReadinessFacts): boolean {
-    const hasAnswers = facts.linkedHosts.length > 0 && allAnswered(joining, facts);
-    return hasAnswers || facts.now >= joining.startedAt + peerAnswerGraceMs;
+    const isInformed = joining.peersHeld > 0 && facts.linkedHosts.length > 0 && allAnswered(joining, facts);
+    const unlinkedMs = facts.expectsPeers ? peerAnswersDeadlineMs : peerAnswerGraceMs;
+    const deadline =
+        joining.linkedAt === undefined
+            ? joining.startedAt + unlinkedMs
+            : Math.min(joining.linkedAt + peerAnswerGraceMs, joining.startedAt + peerAnswersDeadlineMs);
+    return isInformed || facts.now >= deadline;
 }
 
 /** With several peers that all answered, there is nobody left to wait for. */
--- a/packages/daemon/src/controllers/readiness.ts
+++ b/packages/daemon/src/controllers/readiness.ts
@@ -5,7 +5,7 @@
     servableVersion,
     MessageKind,
     startJoining,
-    takeConfirmation,
+    takePeerVersion,
     takeWatermark,
     type IncomingMessage,
     type Joining,
@@ -35,12 +35,15 @@
                 decide();
             }
         },
-        [MessageKind.Heartbeat]: (_from, { version }, receivedAt) => {
-            joining = takeConfirmation(joining, version, receivedAt);
-            decide();
-        },
+        [MessageKind.Heartbeat]: (_from, { version }, receivedAt) => takeVersion(version, receivedAt),
+        [MessageKind.Announce]: (_from, { version }, receivedAt) => takeVersion(version, receivedAt),
     };
 
+    function takeVersion(version: number, receivedAt: number): void {
+        joining = takePeerVersion(joining, version, receivedAt);
+        decide();
+    }
+
     function answerRequest(from: string, host: string): void {
         const { records, watermarks } = board.read("membership");
         const message = {
@@ -96,7 +99,18 @@
         head: head === undefined ? undefined : servableVersion(head, rejectedHashes),
         headReadAt,
         reachable,
+        expectsPeers: expectsPeers(board),
         linkedHosts: [...board.read("peerLinks").keys()],
         shutdownRequested: board.read("shutdown").requested,
     };
 }
+
+function expectsPeers(board: Board): boolean {
+    const { records, self } = board.read("membership");
+    const listed = [...board.read("domainAddresses").values()].flat();
+    return (
+        board.read("settings").peers.length > 0 ||
+        records.size > 0 ||
+        listed.some(address => address !== self.peerAddress)
+    );
+}
