fix(backend-servers): a leaving that was acknowledged binds when the server is not known

Cause: a daemon that had just started acknowledged the leaving of a backend server that it did not know yet and forgot it, so that a late announcement brought the server back as serving. The same happened after the lease of a server that had left.

An announcement of a start of the backend server that is not later than the leaving counts as draining; a later start serves.

--- a/packages/daemon/features/backendServers.feature
+++ b/packages/daemon/features/backendServers.feature
@@ -22,6 +22,25 @@
         When backend server "s1" starts anew
         Then backend server "s1" is "serving"
 
+    # Guards against a daemon that just restarted and forgets that it acknowledged the leaving of a backend server.
+    @leaving-gets-no-work @herd-death
+    Scenario: A drain of a backend server that is not known yet holds for its late announcement
+        Given no backend servers are known at 5000 ms
+        When backend server "s1" is drained by command
+        And backend server "s1" announces itself with counter 4 as "serving"
+        Then backend server "s1" is "draining"
+
+    # Guards against an announcement that arrives after the lease of a backend server that left.
+    @leaving-gets-no-work
+    Scenario: A drain holds after the lease, until the backend server starts anew
+        When backend server "s1" announces itself at 0 ms
+        And backend server "s1" is drained by command
+        Then no backend servers are known at 3001 ms
+        When backend server "s1" announces itself with counter 9 as "serving"
+        Then backend server "s1" is "draining"
+        When backend server "s1" starts anew
+        Then backend server "s1" is "serving"
+
     Scenario: Malformed announcements and commands for unknown backend servers are reported and ignored
         When malformed backend server announcements arrive
         And backend server "s9" is drained by command
