feat(telemetry): stages of calls, reasons of refusals and failures of backend servers

Cause: logs and metrics could not tell whether a late call was held by the read, a queue, a link or its backend server, and an answer of 500 or more of a backend server left no line at all. Change: each call carries the instants at which it was read, admitted, written and answered. Spans hold the stages read, queue, send, hop and backend; a hop's response tells the wait and the backend server's time in tanagertray-took, so that the entry daemon can subtract them. The metrics have histograms of the stages, of the waits by service and of the lateness of the clock's ticks, the active time of the event loop, and counters of refusals by place and reason and of unserved calls by result and reason. call.serverError is new; call.unserved, call.attemptFailed, call.refused and call.hopRefused have readAfterMs, queuedMs, sentAfterMs, the caller and the version; a hop that gets no backend server is logged by the host that refused it. call.serverError has the limit of lines of the other decisions on calls.

--- a/packages/core/src/telemetry/span.ts
+++ b/packages/core/src/telemetry/span.ts
@@ -1,3 +1,5 @@
+import type { StageDurations } from "./stage.js";
+
 /** One hop of a call, as W3C Trace Context and OpenTelemetry know it. */
 export interface Span {
     readonly traceId: string;
@@ -8,5 +10,7 @@
     readonly startedAt: number;
     readonly durationMs: number;
     readonly failed: boolean;
+    /** Stages of a call, for spans of calls. */
+    readonly stages?: StageDurations;
     readonly attributes: Readonly<Record<string, string | number | boolean>>;
 }
--- a/packages/daemon/src/adapters/admin/constants.ts
+++ b/packages/daemon/src/adapters/admin/constants.ts
@@ -20,5 +20,7 @@
 export const maxCountedNames = 512;
 /** Largest span duration that a histogram tells apart, in microseconds. */
 export const maxSpanMicroseconds = 3_600_000_000;
+/** Services whose waits are counted apart, of some 12 KB each; further ones share the name `other`. */
+export const maxCountedServices = 128;
 /** Spans kept while the histograms are being loaded. */
 export const maxEarlySpans = 1_024;
--- a/packages/daemon/src/adapters/admin/metrics.ts
+++ b/packages/daemon/src/adapters/admin/metrics.ts
@@ -1,7 +1,8 @@
+import { performance } from "node:perf_hooks";
 import { HostState, ReadinessState } from "@tanagertray/core";
 import type { Board } from "../../board.js";
 import type { KindTraffic } from "../peers/traffic.js";
-import type { Counters } from "./counters.js";
+import { labelSeparator, type Counters, type Durations } from "./counters.js";
 import { Access, type EndpointTable } from "./exchange.js";
 import { knownHosts } from "./knownHosts.js";
 import { sendText } from "./responses.js";
@@ -118,6 +119,51 @@
         read: ({ counters }) =>
             [...counters.spans()].map(([span, { failures }]) => ({ labels: { span }, value: failures })),
     },
+    {
+        name: "tanagertray_call_refusals_total",
+        type: "counter",
+        help: "Refused calls and failed attempts by place and reason.",
+        read: ({ counters }) => countPairs(counters.refusals(), ["at", "reason"]),
+    },
+    {
+        name: "tanagertray_calls_unserved_total",
+        type: "counter",
+        help: "Calls without a complete answer by result and reason.",
+        read: ({ counters }) => countPairs(counters.unserved(), ["result", "reason"]),
+    },
+    {
+        name: "tanagertray_call_stage_duration_seconds",
+        type: "summary",
+        help: "Stages of calls by span and stage.",
+        read: ({ counters }) =>
+            [...counters.spans()].flatMap(([span, { stages }]) =>
+                Object.entries(stages).flatMap(([stage, durations]) =>
+                    quantileSamples({ span, stage }, durations),
+                ),
+            ),
+    },
+    {
+        name: "tanagertray_call_queue_duration_seconds",
+        type: "summary",
+        help: "Waits for a slot of a backend server of this host by service.",
+        read: ({ counters }) =>
+            [...counters.waits()].flatMap(([service, durations]) => quantileSamples({ service }, durations)),
+    },
+    {
+        name: "tanagertray_event_loop_lag_seconds",
+        type: "summary",
+        help: "How late the ticks of the clock came.",
+        read({ counters }) {
+            const lag = counters.loopLag();
+            return lag === undefined ? [] : quantileSamples({}, lag);
+        },
+    },
+    {
+        name: "tanagertray_event_loop_active_seconds_total",
+        type: "counter",
+        help: "Time in which the event loop did not wait for events.",
+        read: () => [{ value: performance.eventLoopUtilization().active / 1e3 }],
+    },
     {
         name: "process_resident_memory_bytes",
         type: "gauge",
@@ -190,12 +236,30 @@
 }
 
 function readDurations({ counters }: Source): readonly Sample[] {
-    return [...counters.spans()].flatMap(([span, { histogram, totalMs }]) => [
+    return [...counters.spans()].flatMap(([span, durations]) => quantileSamples({ span }, durations));
+}
+
+function quantileSamples(
+    labels: Readonly<Record<string, string>>,
+    { histogram, totalMs }: Durations,
+): readonly Sample[] {
+    return [
         ...quantiles.map(quantile => ({
-            labels: { span, quantile: String(quantile) },
+            labels: { ...labels, quantile: String(quantile) },
             value: histogram.getValueAtPercentile(quantile * 100) / 1e6,
         })),
-        { suffix: "_sum", labels: { span }, value: totalMs / 1e3 },
-        { suffix: "_count", labels: { span }, value: histogram.totalCount },
-    ]);
+        { suffix: "_sum", labels, value: totalMs / 1e3 },
+        { suffix: "_count", labels, value: histogram.totalCount },
+    ];
+}
+
+/** Counts whose keys join the values of two labels. */
+function countPairs(
+    counts: ReadonlyMap<string, number>,
+    [first, second]: readonly [string, string],
+): readonly Sample[] {
+    return [...counts].map(([key, value]) => {
+        const [one = "", other = ""] = key.split(labelSeparator);
+        return { labels: { [first]: one, [second]: other }, value };
+    });
 }
--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -34,6 +34,7 @@
 import { runLocally } from "./localCall.js";
 import type { BodyAttempt } from "./requestBody.js";
 import { discardingSink } from "./responses.js";
+import { decodeTook, stageFields, tookHeader, type StageTimes } from "./stageTimes.js";
 
 /** One attempt to carry a call to a host. */
 export interface Attempt {
@@ -46,6 +47,7 @@
     readonly body: BodyAttempt;
     readonly traceparent: string;
     readonly control: Cancellation;
+    readonly stages: StageTimes;
     readonly onHead: (status: number, rawHeaders: string[]) => ResponseSink;
 }
 
@@ -102,7 +104,7 @@
 /** Says why an attempt failed, with what the choice of its host was based on. */
 function noteFailedAttempt(
     { telemetry, now, board }: CallContext,
-    { callId, attemptId, deadline, selection, call }: Attempt,
+    { callId, attemptId, deadline, selection, call, stages }: Attempt,
     { failure, refusal: refused }: AttemptOutcome,
     { report, inFlight }: HostObservation,
 ): void {
@@ -115,6 +117,7 @@
         failure,
         reason: refused?.reason,
         leftMs: remainingMs(deadline, now()),
+        ...stageFields(stages),
         inFlight,
         reportedCalls: report?.calls,
         reportedSlots: report?.slots,
@@ -173,6 +176,8 @@
             refused = { reason, retryAfterMs: retryAfterMs >= 0 ? retryAfterMs : defaultRetryAfterMs };
             return discardingSink;
         }
+        attempt.stages.answeredAt = context.now();
+        attempt.stages.took = decodeTook(headerValue(raw, tookHeader));
         noteHead();
         return attempt.onHead(status, raw);
     }
@@ -188,7 +193,13 @@
         timers: context.timers,
         headSilenceMs: hopSilenceMs,
         bodySilenceMs,
-        mayWrite: () => remainingMs(attempt.startBy, context.now()) > 0,
+        mayWrite() {
+            const mayStart = remainingMs(attempt.startBy, context.now()) > 0;
+            if (mayStart) {
+                attempt.stages.sentAt = context.now();
+            }
+            return mayStart;
+        },
         onInformation: () => body.commit(),
         onHead,
     });
--- a/packages/daemon/src/adapters/calls/handleEntry.ts
+++ b/packages/daemon/src/adapters/calls/handleEntry.ts
@@ -19,10 +19,10 @@
 } from "@tanagertray/core";
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Cancellation } from "./cancellation.js";
 import { makeAttempt, callGroup, type AttemptOutcome } from "./attempt.js";
 import { fateWaitMs, leastAttemptMs, maxRedirects } from "./constants.js";
 import type { CallContext } from "./context.js";
+import { CallResult, noteEnd, type EntryCall } from "./entryCall.js";
 import { UnknownCause } from "./dialect.js";
 import { headerValue, outcomeHeader, responseHeaders } from "./headers.js";
 import {
@@ -34,11 +34,11 @@
     openCancel,
     readEntryCall,
     timesOf,
-    type IncomingCall,
 } from "./incoming.js";
 import { heldVersion } from "../../controllers/advertisement.js";
-import { createRequestBody, type RequestBody } from "./requestBody.js";
+import { createRequestBody } from "./requestBody.js";
 import { isRequestComplete, resetConnection, sendOwn, sinkTo } from "./responses.js";
+import { hopStages, localStages } from "./stageTimes.js";
 
 /** Time to ask for a call's fate once the deadline has passed, in milliseconds. */
 const lateFateWaitMs = 200;
@@ -49,28 +49,6 @@
 const noHeaders: ReadonlySet<string> = new Set();
 const unknownOutcomeHeader = [outcomeHeader, CallOutcome.Unknown];
 
-/** State of one call at its entry daemon. */
-interface EntryCall {
-    readonly call: IncomingCall;
-    readonly callId: string;
-    readonly deadline: number;
-    readonly startBy: number;
-    readonly body: RequestBody;
-    readonly control: Cancellation;
-    readonly response: ServerResponse;
-    readonly traceparent: string;
-    readonly excluded: Set<string>;
-    /** Attempts after the first. */
-    retries: number;
-    /** Attempts that may have reached a backend server. */
-    arrivals: number;
-    /** The last attempt failed by its connection, not by a refusal. */
-    connectionFailed: boolean;
-    /** An earlier attempt may have run, so that no later refusal means that the call did not run. */
-    mayHaveRun: boolean;
-    lastRefusal: Refusal | undefined;
-}
-
 /** Carries a caller's request to a host that offers the service, and answers the caller. */
 export async function handleEntry(
     context: CallContext,
@@ -83,14 +61,22 @@
     if (checked.isLeft()) {
         const refused = checked.extract() as Refusal;
         const callId = request.headers[dialect.callIdHeader];
-        telemetry.event("call.refused", "info", { callId: String(callId ?? ""), reason: refused.reason });
+        telemetry.event("call.refused", "info", {
+            callId: String(callId ?? ""),
+            reason: refused.reason,
+            hostName: request.headers.host,
+            readAfterMs: Math.round(context.now() - arrivedAt),
+            readiness: context.board.read("readiness").state,
+            version: heldVersion(context.board),
+        });
         return sendOwn(response, dialect.notRun(refused), {
             close: refused.reason === RefusalReason.Draining,
         });
     }
     const call = checked.unsafeCoerce();
-    const { operation, service, partner } = call.matched;
+    const { operation, service } = call.matched;
     const { deadline, startBy } = timesOf(context, call, arrivedAt);
+    const readAt = context.now();
     const cancel = openCancel(context, response, deadline);
     const span = telemetry.startSpan("entry", call.head.own.get("traceparent"));
     const entry: EntryCall = {
@@ -113,6 +99,9 @@
         connectionFailed: false,
         mayHaveRun: false,
         lastRefusal: undefined,
+        stages: { arrivedAt, readAt, startedAt: readAt },
+        selection: undefined,
+        status: undefined,
     };
     const checkedCaller = cancelIfLeft(context, cancel.control, { request, arrivedAt });
     if (checkedCaller !== undefined) {
@@ -131,35 +120,15 @@
         // The rest of a body that nobody needs must not stand in front of the connection's next request.
         request.resume();
     }
-    const { retries } = entry;
-    span.end(result !== CallResult.Completed, {
-        service: service.name,
-        operation: operation.name,
-        result,
-        retries,
-    });
-    const isServed = result === CallResult.Completed;
-    telemetry.event(isServed ? "call.finished" : "call.unserved", isServed ? "debug" : "info", {
-        callId: entry.callId,
-        service: service.name,
-        route: operation.name,
-        partner,
-        result,
-        retries,
-        reason: entry.lastRefusal?.reason,
-        leftMs: remainingMs(deadline, context.now()),
-        version: heldVersion(context.board),
-    });
+    const { retries, selection, stages } = entry;
+    span.end(
+        result !== CallResult.Completed,
+        { service: service.name, operation: operation.name, result, retries },
+        selection?.tier === Tier.OwnHost ? localStages(stages) : hopStages(stages),
+    );
+    noteEnd(context, entry, { result, traceId: span.traceId });
 }
 
-const CallResult = {
-    Completed: "completed",
-    NotRun: "notRun",
-    Unknown: "unknown",
-    Reset: "reset",
-} as const;
-type CallResult = (typeof CallResult)[keyof typeof CallResult];
-
 async function carry(context: CallContext, entry: EntryCall): Promise<CallResult> {
     for (;;) {
         const selection = select(context, entry);
@@ -256,6 +225,10 @@
     attemptId: string,
 ): Promise<AttemptOutcome> {
     const { call, callId, deadline, startBy, response, control, traceparent } = entry;
+    const { arrivedAt, readAt } = entry.stages;
+    const stages = { arrivedAt, readAt, startedAt: entry.retries === 0 ? readAt : context.now() };
+    entry.stages = stages;
+    entry.selection = selection;
     const body = entry.body.open();
     const outcome = await makeAttempt(context, {
         call,
@@ -267,7 +240,9 @@
         body,
         traceparent,
         control,
+        stages,
         onHead(status, raw) {
+            entry.status = status;
             const closes = context.board.read("shutdown").requested && isRequestComplete(response);
             const closing = closes ? ["connection", "close"] : [];
             // "Not run" by the backend server holds for this attempt only, not for an earlier lost one.
--- a/packages/daemon/src/adapters/calls/handleHop.ts
+++ b/packages/daemon/src/adapters/calls/handleHop.ts
@@ -1,6 +1,7 @@
 import { refusal, RefusalReason, type Refusal, type Service } from "@tanagertray/core";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Left, Right, type Either } from "purify-ts/Either";
+import { heldVersion } from "../../controllers/advertisement.js";
 import { encodeCapacity } from "./capacityHeader.js";
 import { keptBodyBytes, progressMs } from "./constants.js";
 import type { CallContext } from "./context.js";
@@ -20,6 +21,7 @@
 import { runLocally } from "./localCall.js";
 import type { Timer } from "./timers.js";
 import { answerNotRun, ownDialect } from "./ownDialect.js";
+import { encodeTook, localStages, stageFields, type StageTimes } from "./stageTimes.js";
 import { createRequestBody } from "./requestBody.js";
 import { isRequestComplete, resetConnection, sendOwn, sinkTo } from "./responses.js";
 
@@ -43,7 +45,14 @@
         .chain(call => verify(context, call));
     if (checked.isLeft()) {
         const refused = checked.extract() as Refusal;
-        context.telemetry.event("call.hopRefused", "info", { reason: refused.reason });
+        context.telemetry.event("call.hopRefused", "info", {
+            callId: String(request.headers["tanagertray-call-id"] ?? ""),
+            caller: String(request.headers["tanagertray-caller"] ?? ""),
+            reason: refused.reason,
+            readAfterMs: Math.round(context.now() - arrivedAt),
+            readiness: context.board.read("readiness").state,
+            version: heldVersion(context.board),
+        });
         return sendOwn(response, answerNotRun(refused), {
             close: refused.reason === RefusalReason.Draining,
         });
@@ -58,6 +67,8 @@
     response: ServerResponse,
 ): Promise<void> {
     const { matched, head } = call;
+    const readAt = context.now();
+    const stages: StageTimes = { arrivedAt, readAt, startedAt: readAt };
     const { deadline, startBy } = timesOf(context, call, arrivedAt);
     const cancel = openCancel(context, response, deadline);
     const span = context.telemetry.startSpan("hop", head.own.get("traceparent"));
@@ -95,6 +106,7 @@
         traceparent: span.traceparent,
         body,
         control: cancel.control,
+        stages,
         onAdmitted() {
             if (waitsForAdmission) {
                 response.writeProcessing();
@@ -110,7 +122,7 @@
             const closing = closes ? ["connection", "close"] : [];
             response.writeHead(status, [
                 ...responseHeaders(raw, keptHeaders),
-                ...["tanagertray-load", load],
+                ...["tanagertray-load", load, ...encodeTook(stages)],
                 ...encodeCapacity(context.admissions.report(matched.service)),
                 ...closing,
             ]);
@@ -124,15 +136,18 @@
         request.resume();
     }
     outcome.caseOf({
-        Left: refused => refuse(context, response, matched.service, refused),
+        Left: refused => {
+            noteRefused(context, { call, attemptId, callId }, refused, stages);
+            refuse(context, response, matched.service, refused);
+        },
         Right: ({ end }) => answerByEnd[end](response),
     });
     const reason = outcome.caseOf<string>({ Left: refused => refused.reason, Right: ({ end }) => end });
-    span.end(reason !== ExchangeEnd.Completed, {
-        service: matched.service.name,
-        operation: matched.operation.name,
-        reason,
-    });
+    span.end(
+        reason !== ExchangeEnd.Completed,
+        { service: matched.service.name, operation: matched.operation.name, reason },
+        localStages(stages),
+    );
     context.telemetry.event("call.hop", "debug", { service: matched.service.name, reason });
 }
 
@@ -141,6 +156,31 @@
     return Promise.resolve(Left(refusal(RefusalReason.DeadlinePassed)));
 }
 
+/** Says why a call of another daemon got no backend server of this host. */
+function noteRefused(
+    { admissions, board, telemetry }: CallContext,
+    { call, attemptId, callId }: VerifiedHop,
+    { reason, retryAfterMs }: Refusal,
+    stages: StageTimes,
+): void {
+    const { service, caller, operation } = call.matched;
+    const report = admissions.report(service);
+    telemetry.event("call.hopRefused", "info", {
+        callId,
+        attemptId,
+        caller,
+        service: service.name,
+        route: operation.name,
+        reason,
+        retryAfterMs,
+        startWithinMs: call.startWithinMs,
+        ...stageFields(stages),
+        calls: report?.calls,
+        slots: report?.slots,
+        version: heldVersion(board),
+    });
+}
+
 /** Refuses a call with what the next choice of the entry daemon needs to know of this host. */
 function refuse(context: CallContext, response: ServerResponse, service: Service, refused: Refusal): void {
     const answer = answerNotRun(refused);
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -7,6 +7,7 @@
 import { exchange, ExchangeEnd, type ExchangeResult, type ResponseSink } from "./exchange.js";
 import type { BodyAttempt } from "./requestBody.js";
 import { deadlinePassed } from "./incoming.js";
+import type { StageTimes } from "./stageTimes.js";
 import { discardingSink } from "./responses.js";
 
 /** A call to a backend server of this host. */
@@ -25,6 +26,7 @@
     readonly traceparent: string;
     readonly body: BodyAttempt;
     readonly control: Cancellation;
+    readonly stages: StageTimes;
     /** The call is about to be written to a backend server. */
     readonly onAdmitted: () => void;
     readonly onHead: (status: number, rawHeaders: string[]) => ResponseSink;
@@ -49,7 +51,9 @@
         objective,
         deadline: waitUntil,
     };
+    const queuedAt = context.now();
     const admitted = await context.admissions.acquire(service, waiting, call.control);
+    call.stages.queuedMs = context.now() - queuedAt;
     if (admitted.isLeft()) {
         return Left(admitted.extract() as Refusal);
     }
@@ -67,6 +71,7 @@
             refused = refusal(RefusalReason.Barred);
             return false;
         }
+        call.stages.sentAt = context.now();
         call.onAdmitted();
         return true;
     }
@@ -95,6 +100,7 @@
         onInformation: () => undefined,
         resets: () => context.pools.resets(address),
         onHead(status, raw) {
+            call.stages.answeredAt = context.now();
             context.pools.noteHeard(address);
             const verdict = context.dialect.judge({ status, raw, callId: call.givenCallId });
             return takeHead[verdict](call, { status, raw, refuse: reason => (refusedByServer = reason) });
--- a/packages/daemon/src/adapters/calls/telemetry.ts
+++ b/packages/daemon/src/adapters/calls/telemetry.ts
@@ -1,12 +1,17 @@
-import type { EventLevel } from "@tanagertray/core";
+import type { EventLevel, StageDurations } from "@tanagertray/core";
 import { type Event } from "@tanagertray/core";
 import type { Board } from "../../board.js";
 
 /** A span in progress. */
 export interface OpenSpan {
+    readonly traceId: string;
     /** Value of `traceparent` for the next hop. */
     readonly traceparent: string;
-    end(failed: boolean, attributes: Readonly<Record<string, string | number | boolean>>): void;
+    end(
+        failed: boolean,
+        attributes: Readonly<Record<string, string | number | boolean>>,
+        stages: StageDurations,
+    ): void;
 }
 
 export interface Telemetry {
@@ -41,8 +46,9 @@
             const spanId = randomHex(16);
             const startedAt = now();
             return {
+                traceId,
                 traceparent: `00-${traceId}-${spanId}-${flags}`,
-                end(failed, attributes) {
+                end(failed, attributes, stages) {
                     const durationMs = now() - startedAt;
                     const parent = parentSpanId === undefined ? {} : { parentSpanId };
                     spans.append({
@@ -54,6 +60,7 @@
                         durationMs,
                         failed,
                         attributes,
+                        stages,
                     });
                 },
             };
--- a/packages/daemon/src/adapters/log.ts
+++ b/packages/daemon/src/adapters/log.ts
@@ -13,6 +13,7 @@
     "call.unserved",
     "call.attemptFailed",
     "call.backendRefused",
+    "call.serverError",
     "call.hopRefused",
 ]);
 const levels: Readonly<Record<string, number>> = { error: 0, warn: 1, info: 2, debug: 3 };
--- a/packages/daemon/src/adapters/traces.ts
+++ b/packages/daemon/src/adapters/traces.ts
@@ -1,4 +1,4 @@
-import { EventLevel, type Span } from "@tanagertray/core";
+import { EventLevel, type Span, type StageDurations } from "@tanagertray/core";
 import { request } from "undici";
 import type { Board } from "../board.js";
 import type { Closeable } from "../closeable.js";
@@ -26,8 +26,8 @@
 const exporters = {
     [TraceExporter.None]: () => ({ close: () => undefined }),
     [TraceExporter.Log]: (board, report) => {
-        const subscription = board.follow("spans", ({ attributes, ...span }) =>
-            report("trace.span", EventLevel.Info, { ...attributes, ...span }),
+        const subscription = board.follow("spans", ({ attributes, stages, ...span }) =>
+            report("trace.span", EventLevel.Info, { ...attributes, ...stageAttributes(stages), ...span }),
         );
         return { close: () => subscription.close() };
     },
@@ -100,6 +100,11 @@
     };
 }
 
+/** Stages as attributes, such as `queueMs`. */
+function stageAttributes(stages: StageDurations = {}): Readonly<Record<string, number>> {
+    return Object.fromEntries(Object.entries(stages).map(([stage, ms]) => [`${stage}Ms`, ms]));
+}
+
 /** Kind and status codes of the OTLP schema. */
 const otlpServerKind = 2;
 const otlpStatus = { ok: 1, error: 2 } as const;
@@ -118,7 +123,7 @@
         kind: otlpServerKind,
         startTimeUnixNano: toNanoseconds(span.startedAt),
         endTimeUnixNano: toNanoseconds(span.startedAt + span.durationMs),
-        attributes: encodeAttributes(span.attributes),
+        attributes: encodeAttributes({ ...span.attributes, ...stageAttributes(span.stages) }),
         status: { code: span.failed ? otlpStatus.error : otlpStatus.ok },
     };
 }
