fix(calls): a request that follows a wait of the event loop counts as arrived after that wait

Cause: a request that is read without a wait in its own turn counted as arrived at the end of the turn before the last one. The poll of the last turn may have waited since then: a connection ends a wait of up to 100 ms and its request is read in the next turn. Each daemon on the way then took the wait off the time in which the call may start. Change: the wait of the last turn is added to the end of the turn before it.

--- a/packages/daemon/features/calls.feature
+++ b/packages/daemon/features/calls.feature
@@ -144,7 +144,14 @@
         When a connection is accepted at 210 ms and the turn ends at 300 ms
         And the loop waits from 300 ms for 50 ms
         And a connection is accepted at 352 ms and the turn ends at 400 ms
-        Then its first request, read at 410 ms, counts as arrived at 300 ms, and the next one at 300 ms
+        Then its first request, read at 410 ms, counts as arrived at 350 ms, and the next one at 350 ms
+
+    # Guards against idle daemons that count the first request of a connection as having waited since the last tick.
+    Scenario: A connection that ends a wait of the event loop, and its first request, have arrived after that wait
+        Given an event loop that is always busy, with turns that end at 100 and 200 ms
+        When the loop waits from 200 ms for 90 ms
+        And a connection is accepted at 291 ms and the turn ends at 292 ms
+        Then its first request, read at 293 ms, counts as arrived at 290 ms, and the next one at 290 ms
 
     # Guards against a second daemon that starts a call later than the first one, which read it late, would have.
     @not-run-is-true
--- a/packages/daemon/src/adapters/calls/arrivals.ts
+++ b/packages/daemon/src/adapters/calls/arrivals.ts
@@ -102,10 +102,15 @@
     // Without calls the ticks of the clock keep the last turn recent.
     const subscription = board.observe(["clock"], follow);
 
+    /** The poll of the last turn may have waited, too: what arrived before the end of that wait was read in that turn. */
+    function pollOfLastTurn(): number {
+        return Math.min(last.endedAt, before.endedAt + last.idleMs - before.idleMs);
+    }
+
     function lastPoll(): number {
         follow();
         const waitedMs = loop.idleMs() - last.idleMs;
-        return waitedMs < leastIdleMs ? before.endedAt : Math.min(now(), last.endedAt + waitedMs);
+        return waitedMs < leastIdleMs ? pollOfLastTurn() : Math.min(now(), last.endedAt + waitedMs);
     }
 
     /** The row that a connection continues: the turn before this one accepted one too, and the loop has not waited. */
