perf(membership): records of several hosts go over each link together

Cause: in each tick a host relayed what each sender had sent in a message of its own to all other links, and also back to hosts that had sent the same record. While 73 hosts start together most messages are such relays.

Change: planRelay puts the news of a tick into one message for each link and leaves out what that link sent. The tick in which a record is relayed, and the records that a host hears of, stay the same.

The scenario fails when a link gets more than one message or hears what it sent.

--- a/packages/core/features/membership.feature
+++ b/packages/core/features/membership.feature
@@ -62,6 +62,12 @@
         And a table without hosts is given every bucket
         And a round of anti-entropy among 30000 hosts is limited to 2 buckets
 
+    # Guards against a herd of starting hosts that sends a message over each link for every host it heard from.
+    Scenario: Records of several hosts go over each link together, and not back to who sent them
+        When 3 hosts have sent one record of their own each and all of them that of "x"
+        Then each of them gets one message with what the others sent of themselves
+        And all other links get one message with 4 records
+
     # Guards against hosts that disagree on roles, and a graph that falls apart.
     Scenario: Roles and neighbours follow from the membership
         Given a membership of 2 regions with 3 domains of 20 hosts each
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -42,6 +42,7 @@
 export * from "./membership/order.js";
 export * from "./membership/publication.js";
 export * from "./membership/refutation.js";
+export * from "./membership/relaying.js";
 export * from "./membership/rendezvous.js";
 export * from "./membership/topology.js";
 export * from "./messages/peerMessage.js";
--- a/packages/daemon/src/controllers/membership.ts
+++ b/packages/daemon/src/controllers/membership.ts
@@ -9,6 +9,7 @@
     HostState,
     mergeRecords,
     MessageKind,
+    planRelay,
     recordsOfBuckets,
     refute,
     takeNextIncarnation,
@@ -178,10 +179,11 @@
 }
 
 function mergePending(context: Context, now: number): void {
-    const pending = context.pending;
+    const received = context.pending;
+    const news = new Map<string, HostRecord>();
     context.pending = new Map();
     context.pendingCount = 0;
-    for (const [from, records] of pending) {
+    for (const [from, records] of received) {
         const self = ownRecord(context);
         const ofSelf = records.filter(record => record.host === self.host);
         const heard = ofSelf.reduce<HostRecord | undefined>(newer, undefined);
@@ -192,9 +194,12 @@
         }
         const others = records.filter(record => record.host !== self.host);
         const { changed, corrections } = merge(context, others, now);
-        sendRecords(context, { allBut: [from] }, changed);
+        changed.forEach(record => news.set(record.host, record));
         sendRecords(context, { host: from }, corrections);
     }
+    const { toSenders, toOthers } = planRelay({ received, news });
+    sendRecords(context, { allBut: [...received.keys()] }, toOthers);
+    toSenders.forEach((records, host) => sendRecords(context, { host }, records));
 }
 
 function newer(known: HostRecord | undefined, record: HostRecord): HostRecord {
