--- a/features/hosts.feature
+++ b/features/hosts.feature
@@ -55,3 +55,15 @@
         And no restart of "a1" was ready on a version below 2
         When the platform returns
         Then every daemon process but "a2" is ready on version 2 within 9000 ms
+
+    # Guards against a version that only the killed daemons had, and against a stale read after the return.
+    @no-older-version @in-force-everywhere @herd-death @reconnect-storm @stale-read @two-faults
+    Scenario: All daemons lose power right after an accept, and the last to return reads a stale head row
+        Given daemon processes "a1,a2,b1" with spread "eager" on version 1
+        When version 2 is accepted through "a1"
+        And every daemon process is killed, and all but "a1" start again
+        And every daemon process but "a1" is ready on version 2 within 9000 ms
+        And the platform serves stale rows
+        And daemon process "a1" starts again
+        Then every daemon process is ready on version 2 within 9000 ms
+        And no daemon process was ready on a version below 2
--- a/features/steps/hosts.ts
+++ b/features/steps/hosts.ts
@@ -95,6 +95,25 @@
     },
 );
 
+When(
+    "every daemon process is killed, and all but {string} start again",
+    { timeout: scenarioMs },
+    async function (this: World, but: string) {
+        const hosts = this.processes?.hosts ?? [];
+        await Promise.all(hosts.map(host => host.kill()));
+        hosts.forEach(host => this.samplesBefore.set(host.name, host.samples.length));
+        hosts.filter(({ name }) => name !== but).forEach(host => host.start());
+    },
+);
+
+When("daemon process {string} starts again", function (this: World, name: string) {
+    hostNamed(this, name).start();
+});
+
+When("the platform serves stale rows", function (this: World) {
+    (this.processes as HostProcesses).platform.faults.staleWrites = 1;
+});
+
 When(
     "daemon process {string} is killed and started again",
     { timeout: scenarioMs },
