--- a/features/hosts.feature
+++ b/features/hosts.feature
@@ -56,7 +56,6 @@
         When the platform returns
         Then every daemon process but "a2" is ready on version 2 within 9000 ms
 
-<<<<<<< HEAD
     # Guards against calls that are sent on for clients that left while their connections waited to be accepted.
     @not-run-is-true
     Scenario Outline: A busy daemon sends on no call whose client has left
@@ -85,7 +84,7 @@
             | a2      | 200 | 100  |
             | a1      | 800 | 100  |
             | a2      | 800 | 100  |
-=======
+
     # Guards against a version that only the killed daemons had, and against a stale read after the return.
     @no-older-version @in-force-everywhere @herd-death @reconnect-storm @stale-read @two-faults
     Scenario: All daemons lose power right after an accept, and the last to return reads a stale head row
@@ -97,4 +96,3 @@
         And daemon process "a1" starts again
         Then every daemon process is ready on version 2 within 9000 ms
         And no daemon process was ready on a version below 2
->>>>>>> power
