--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -49,6 +49,7 @@
 export * from "./joining/readiness.js";
 export * from "./telemetry/event.js";
 export * from "./telemetry/span.js";
+export * from "./calls/attribution.js";
 export * from "./calls/refusal.js";
 export * from "./calls/deadline.js";
 export * from "./calls/retry.js";
--- /dev/null
+++ b/packages/daemon/features/answers.feature
@@ -0,0 +1,61 @@
+Feature: Each answer is the own and whole answer of its call, whatever a backend server writes
+
+    # Guards against answers that are taken for those of other calls, and against "not run" for calls that ran.
+    @own-answer @not-run-is-true @at-most-once
+    Scenario Outline: Faulty answers in many orders
+        Given a backend server with faults <where> its callers
+        When 60 sequences of 8 calls meet its faults in orders drawn from a fixed seed
+        Then the backend server has run at least 100 calls
+
+        Examples:
+            | where        |
+            | beside       |
+            | one hop from |
+
+    # Guards against the end of a connection that is taken for the end of an answer.
+    @own-answer
+    Scenario Outline: An answer that is cut at any byte is never whole
+        Given a backend server with faults <where> its callers
+        When its answer is cut at every byte, by the end and by a reset of the connection
+        Then no caller takes it for a whole answer
+
+        Examples:
+            | where        |
+            | beside       |
+            | one hop from |
+
+    # Guards against an answer that names no call, or another one, on a connection that carried others.
+    @own-answer @not-run-is-true
+    Scenario Outline: An answer that cannot be told to be that of its call
+        Given a backend server with faults <where> its callers
+        When a call meets <first>, and <second> after it
+        Then the second call ends as "<result>"
+        And a rejected answer is noted with "<cause>" after 1 exchange
+
+        Examples:
+            | where        | first   | second         | result  | cause         |
+            | beside       | whole   | repeated       | unknown | otherExchange |
+            | one hop from | whole   | repeated       | unknown | otherExchange |
+            | beside       | refused | repeated       | unknown | otherExchange |
+            | beside       | whole   | merged         | unknown | otherExchange |
+            | beside       | whole   | unnamed        | unknown | unnamed       |
+            | one hop from | whole   | unnamed        | unknown | unnamed       |
+            | beside       | whole   | refusedUnnamed | unknown | unnamed       |
+
+    # Guards against kept connections to a server that names no calls: a late copy could not be told from an answer.
+    @own-answer
+    Scenario Outline: A backend server that names no calls is called on new connections
+        Given a backend server with faults <where> its callers
+        When a call meets unnamed, and unnamed after it
+        Then the second call ends as "completed"
+
+        Examples:
+            | where        |
+            | beside       |
+            | one hop from |
+
+    # Guards against an assertion of the client library that ends the process.
+    Scenario: A reset of a connection whose answer is paused costs that call alone
+        Given a backend server with faults beside its callers
+        When an answer without a length is paused and its connection is reset
+        Then its exchange ends as "truncated"
--- a/packages/daemon/features/steps/callBackend.ts
+++ b/packages/daemon/features/steps/callBackend.ts
@@ -30,6 +30,7 @@
 ): Promise<Server> {
     const backend = createServer((request, response) => {
         const callId = String(request.headers["tanagertray-call-id"]);
+        response.setHeader("tanagertray-call-id", callId);
         let release: () => void = () => undefined;
         const released = new Promise<void>(resolve => (release = resolve));
         const run: Run = {
--- /dev/null
+++ b/packages/daemon/features/steps/rawBackend.ts
@@ -0,0 +1,171 @@
+import { createServer, type AddressInfo, type Server, type Socket } from "node:net";
+
+/** What a faulty backend server does with a call. */
+export const RawFault = {
+    Whole: "whole",
+    Chunked: "chunked",
+    /** Whole without a length; the end of the connection ends it. */
+    Unframed: "unframed",
+    /** Whole, without the id of the call. */
+    Unnamed: "unnamed",
+    /** The same answer twice at once. */
+    Twice: "twice",
+    /** The same answer again after some milliseconds. */
+    Late: "late",
+    /** Only some of its bytes, then the end of the connection. */
+    Cut: "cut",
+    /** Only some of its bytes, then a reset. */
+    Reset: "reset",
+    /** Without a length, and a reset instead of the end. */
+    UnframedReset: "unframedReset",
+    /** The last answer on the connection once more, and its own some milliseconds later. */
+    Repeated: "repeated",
+    /** A head that stops in a header, with the last answer on the connection behind it. */
+    Merged: "merged",
+    /** Says that it did not run the call. */
+    Refused: "refused",
+    RefusedUnnamed: "refusedUnnamed",
+    /** Bytes that are no answer. */
+    Garbage: "garbage",
+} as const;
+export type RawFault = (typeof RawFault)[keyof typeof RawFault];
+
+export interface RawRun {
+    readonly callId: string;
+    /** The body of its answer. */
+    readonly body: string;
+}
+
+export interface RawBackend {
+    readonly address: string;
+    readonly runs: readonly RawRun[];
+    close(): Promise<void>;
+}
+
+interface RawCall {
+    readonly callId: string;
+    /** Percent or milliseconds, by fault. */
+    readonly amount: number;
+    /** Last answer on this connection. */
+    readonly last: string;
+}
+
+const outcome = "tanagertray-outcome: not-run";
+const idLine = (callId: string) => `tanagertray-call-id: ${callId}`;
+
+function textOf(status: string, lines: readonly string[], body: string): string {
+    return `HTTP/1.1 ${status}\r\n${lines.join("\r\n")}\r\n\r\n${body}`;
+}
+
+function wholeOf({ callId, body }: RawRun): string {
+    return textOf("200 OK", [idLine(callId), `content-length: ${body.length}`], body);
+}
+
+function refusalOf(lines: readonly string[]): string {
+    return textOf("503 Busy", [...lines, outcome, "content-length: 4"], "busy");
+}
+
+function part(text: string, percent: number): string {
+    return text.slice(0, Math.floor((text.length * percent) / 100));
+}
+
+/** Time between the last bytes and a reset, in milliseconds. */
+const resetAfterMs = 5;
+
+/** Refusals; what they write is all of the answer. */
+const refusals: Readonly<Partial<Record<RawFault, (call: RawCall) => string>>> = {
+    [RawFault.Refused]: ({ callId }) => refusalOf([idLine(callId)]),
+    [RawFault.RefusedUnnamed]: () => refusalOf([]),
+};
+
+type Answer = (socket: Socket, run: RawRun, call: RawCall) => void;
+const answerWhole: Answer = (socket, run) => void socket.write(wholeOf(run));
+
+const answers = {
+    [RawFault.Whole]: answerWhole,
+    [RawFault.Refused]: answerWhole,
+    [RawFault.RefusedUnnamed]: answerWhole,
+    [RawFault.Chunked]: (socket, { callId, body }) => {
+        const chunk = `${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`;
+        socket.write(textOf("200 OK", [idLine(callId), "transfer-encoding: chunked"], chunk));
+    },
+    [RawFault.Unframed]: (socket, { callId, body }) =>
+        void socket.end(textOf("200 OK", [idLine(callId)], body)),
+    [RawFault.Unnamed]: (socket, { body }) => {
+        socket.write(textOf("200 OK", [`content-length: ${body.length}`], body));
+    },
+    [RawFault.Twice]: (socket, run) => void socket.write(wholeOf(run) + wholeOf(run)),
+    [RawFault.Late]: (socket, run, { amount }) => {
+        socket.write(wholeOf(run));
+        setTimeout(() => socket.write(wholeOf(run)), amount / 2);
+    },
+    [RawFault.Cut]: (socket, run, { amount }) => void socket.end(part(wholeOf(run), amount)),
+    [RawFault.Reset]: (socket, run, { amount }) => {
+        socket.write(part(wholeOf(run), amount));
+        setTimeout(() => socket.resetAndDestroy(), resetAfterMs);
+    },
+    [RawFault.UnframedReset]: (socket, { callId, body }, { amount }) => {
+        socket.write(part(textOf("200 OK", [idLine(callId), "connection: close"], body), amount));
+        setTimeout(() => socket.resetAndDestroy(), resetAfterMs);
+    },
+    [RawFault.Repeated]: (socket, run, { amount, last }) => {
+        socket.write(last);
+        setTimeout(() => socket.write(wholeOf(run)), amount / 4);
+    },
+    [RawFault.Merged]: (socket, { callId, body }, { last }) => {
+        const rest = last === "" ? wholeOf({ callId: "none", body }) : last;
+        socket.write(`HTTP/1.1 200 OK\r\n${idLine(callId)}\r\nx-note: ${rest}`);
+    },
+    [RawFault.Garbage]: socket => void socket.write("hello\r\n\r\n"),
+} satisfies Record<RawFault, Answer>;
+
+const requestPattern = /^\w+ \/(\w+)\/(\d+)\S* HTTP[^]*?\r\ntanagertray-call-id: (\S+)\r\n/;
+
+/** A backend server that writes its answers byte by byte. A call `/<fault>/<amount>` says what it does; it has no body. */
+export async function openRawBackend(): Promise<RawBackend> {
+    const runs: RawRun[] = [];
+    const sockets = new Set<Socket>();
+    const server = createServer(socket => {
+        sockets.add(socket);
+        socket.on("close", () => sockets.delete(socket));
+        socket.on("error", () => undefined);
+        let received = "";
+        let last = "";
+        socket.on("data", chunk => {
+            received += chunk.toString("latin1");
+            for (let end = received.indexOf("\r\n\r\n"); end >= 0; end = received.indexOf("\r\n\r\n")) {
+                last = serve(socket, received.slice(0, end + 2), last);
+                received = received.slice(end + 4);
+            }
+        });
+    });
+
+    function serve(socket: Socket, head: string, last: string): string {
+        const [, fault = "", amount = "", callId = ""] = requestPattern.exec(head) ?? [];
+        const call = { callId, amount: Number(amount), last };
+        const refuse = refusals[fault as RawFault];
+        if (refuse !== undefined) {
+            socket.write(refuse(call));
+            return refuse(call);
+        }
+        const run = { callId, body: `answer ${runs.length + 1} to ${callId}` };
+        runs.push(run);
+        answers[fault as RawFault](socket, run, call);
+        return wholeOf(run);
+    }
+
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return {
+        address: addressOf(server),
+        runs,
+        async close() {
+            const closed = new Promise<void>(resolve => server.close(() => resolve()));
+            sockets.forEach(socket => socket.destroy());
+            await closed;
+        },
+    };
+}
+
+function addressOf(server: Server): string {
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
--- a/packages/daemon/src/adapters/admin/counters.ts
+++ b/packages/daemon/src/adapters/admin/counters.ts
@@ -1,8 +1,9 @@
-import type { Span } from "@tanagertray/core";
+import { RejectionCause, type Event, type Span } from "@tanagertray/core";
 import type Int32Histogram from "hdr-histogram-js/dist/Int32Histogram.js";
 import type { Board } from "../../board.js";
 import type { Closeable } from "../../closeable.js";
 import { eventFeeds } from "../../eventFeeds.js";
+import { answerRejectedEvent } from "../calls/rejections.js";
 import { maxCountedNames, maxEarlySpans, maxSpanMicroseconds } from "./constants.js";
 
 type Histogram = InstanceType<typeof Int32Histogram.default>;
@@ -17,6 +18,8 @@
 export interface Counters extends Closeable {
     events(): ReadonlyMap<string, number>;
     spans(): ReadonlyMap<string, SpanStatistics>;
+    /** Responses that were not passed on, or not to their end, by cause. */
+    rejections(): ReadonlyMap<string, number>;
 }
 
 /** Name of the entries beyond the limit of names. */
@@ -28,13 +31,18 @@
 export function createCounters(board: Board): Counters {
     const events = new Map<string, number>();
     const spans = new Map<string, SpanStatistics>();
+    const rejections = new Map<string, number>(Object.values(RejectionCause).map(cause => [cause, 0]));
     let loaded: typeof Int32Histogram.default | undefined;
     let loading: Promise<void> | undefined;
     const early: Span[] = [];
 
-    function countEvent(name: string): void {
+    function countEvent({ name, fields }: Event): void {
         const counted = limitName(events, name);
         events.set(counted, (events.get(counted) ?? 0) + 1);
+        if (name === answerRejectedEvent) {
+            const cause = String(fields["cause"]);
+            rejections.set(cause, (rejections.get(cause) ?? 0) + 1);
+        }
     }
 
     function takeSpan(span: Span): void {
@@ -70,12 +78,13 @@
     }
 
     const subscriptions = [
-        ...eventFeeds.map(feed => board.follow(feed, event => countEvent(event.name))),
+        ...eventFeeds.map(feed => board.follow(feed, countEvent)),
         board.follow("spans", takeSpan),
     ];
     return {
         events: () => events,
         spans: () => spans,
+        rejections: () => rejections,
         close: () => subscriptions.forEach(subscription => subscription.close()),
     };
 }
--- a/packages/daemon/src/adapters/admin/metrics.ts
+++ b/packages/daemon/src/adapters/admin/metrics.ts
@@ -99,6 +99,13 @@
         read: ({ counters }) =>
             [...counters.events()].map(([event, value]) => ({ labels: { event }, value })),
     },
+    {
+        name: "tanagertray_answers_rejected_total",
+        type: "counter",
+        help: "Responses to calls that were not passed on, or not to their end, by cause.",
+        read: ({ counters }) =>
+            [...counters.rejections()].map(([cause, value]) => ({ labels: { cause }, value })),
+    },
     {
         name: "tanagertray_feed_dropped_total",
         type: "counter",
--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -25,15 +25,16 @@
 import { bodySilenceMs, hopConnections, hopSilenceMs } from "./constants.js";
 import type { CallContext } from "./context.js";
 import { UnknownCause } from "./dialect.js";
-import { exchange, ExchangeEnd, type ExchangeResult, type ResponseSink } from "./exchange.js";
+import { exchange, ExchangeEnd, type ExchangeResult } from "./exchange.js";
 import { headerValue } from "./headers.js";
 import { heldVersion } from "../../controllers/advertisement.js";
 import { routeHeader } from "./hopRoute.js";
-import { signHop } from "./hopToken.js";
+import { attemptHeader, signHop } from "./hopToken.js";
 import { callerLeft, type IncomingCall } from "./incoming.js";
 import { runLocally } from "./localCall.js";
+import { ReceptionKind, type Reception, type ResponseSink } from "./reception.js";
+import { noteRejection } from "./rejections.js";
 import type { BodyAttempt } from "./requestBody.js";
-import { discardingSink } from "./responses.js";
 
 /** One attempt to carry a call to a host. */
 export interface Attempt {
@@ -132,7 +133,6 @@
     const { call, body } = attempt;
     const outcome = await runLocally(context, {
         ...attempt,
-        givenCallId: call.callId,
         matched: call.matched,
         method: call.method,
         path: call.backendPath,
@@ -158,7 +158,7 @@
     const { call, body, selection } = attempt;
     let refused: { readonly reason: string; readonly retryAfterMs: number } | undefined;
 
-    function onHead(status: number, raw: string[]): ResponseSink {
+    function onHead(status: number, raw: string[]): Reception {
         const load = Number(headerValue(raw, "tanagertray-load") ?? Number.NaN);
         if (load >= 0) {
             noteLoad(seen, load, context.now());
@@ -171,17 +171,20 @@
         if (reason !== undefined) {
             const retryAfterMs = Number(headerValue(raw, "tanagertray-retry-after-ms") ?? Number.NaN);
             refused = { reason, retryAfterMs: retryAfterMs >= 0 ? retryAfterMs : defaultRetryAfterMs };
-            return discardingSink;
+            return { kind: ReceptionKind.Drop };
         }
         noteHead();
-        return attempt.onHead(status, raw);
+        return { kind: ReceptionKind.Pass, sink: attempt.onHead(status, raw) };
     }
 
+    const { address } = selection.target;
     const result = await exchange({
-        dispatcher: context.pools.get(selection.target.address, hopConnections),
+        dispatcher: context.pools.get(address, hopConnections),
+        openSingle: () => context.pools.openSingle(address),
+        id: attempt.attemptId,
+        idHeader: attemptHeader,
         method: call.method,
         path: call.url,
-        resets: () => context.pools.resets(selection.target.address),
         headers: hopHeaders(context, attempt),
         body: body.chunks,
         cancellation: attempt.control,
@@ -193,8 +196,19 @@
         onHead,
     });
     if (result.silent) {
-        context.pools.retire(selection.target.address);
-        context.telemetry.event("call.poolReplaced", "warn", { address: selection.target.address });
+        context.pools.retire(address);
+        context.telemetry.event("call.poolReplaced", "warn", { address });
+    }
+    if (result.rejection !== undefined) {
+        const source = {
+            callId: attempt.callId,
+            id: attempt.attemptId,
+            idHeader: attemptHeader,
+            server: selection.target.host,
+            address,
+            saysNotRun: saysRefused,
+        };
+        noteRejection(context, source, result.rejection);
     }
     if (refused?.reason === UnknownCause.Lost) {
         return { failure: AttemptFailure.Lost, fateKnown: true };
@@ -207,6 +221,12 @@
     return ofResult(result, false);
 }
 
+/** Whether another daemon refuses the call, other than by saying that its outcome is unknown. */
+function saysRefused({ raw }: { readonly raw: readonly string[] }): boolean {
+    const reason = headerValue(raw, "tanagertray-reason");
+    return reason !== undefined && reason !== UnknownCause.Lost;
+}
+
 function ofResult(result: ExchangeResult, fateKnown: boolean): AttemptOutcome {
     const failure = failureByEnd[result.end];
     const unreachable = { refusal: refusal(RefusalReason.Unreachable) };
--- /dev/null
+++ b/packages/daemon/src/adapters/calls/connections.ts
@@ -0,0 +1,83 @@
+import { buildConnector, Client, type Dispatcher } from "undici";
+import type { Socket } from "node:net";
+import { connectTimeoutMs, maxExchangesPerConnection, poolIdleMs } from "./constants.js";
+
+/** One connection to a backend server or another daemon. */
+export interface Connection {
+    /** Exchanges begun on it. */
+    exchanges: number;
+    /** Ids of these exchanges. A response names its exchange by the id, so none may be carried twice. */
+    readonly ids: Set<string>;
+    /** Bytes received at the end of the last exchange; later ones belong to no exchange. */
+    receivedAtEnd: number;
+    /** Follows the bytes of the exchange in progress. */
+    onReadable: (() => void) | undefined;
+    /** Bytes received, parsed or not. */
+    received(): number;
+    /** Ends it once its exchange is over. */
+    discard(): void;
+}
+
+/** Options of a dispatch that learns on which connection it is carried. */
+export interface TracedDispatch extends Dispatcher.DispatchOptions {
+    /** Called before the first byte is written; what it returns is asked then. */
+    traceConnection(current: () => Connection | undefined): void;
+}
+
+/** Code by which the client library knows an error of the connection alone, after which others carry on. */
+const connectionErrorCode = "UND_ERR_SOCKET";
+
+/** A client for one connection at a time, with a record of what that connection carried. */
+export function createTracedClient(origin: string | URL): Client {
+    let current: Connection | undefined;
+    const connect = buildConnector({ timeout: connectTimeoutMs });
+    const client = new Client(origin, {
+        pipelining: 1,
+        keepAliveTimeout: poolIdleMs,
+        keepAliveMaxTimeout: poolIdleMs,
+        maxRequestsPerClient: maxExchangesPerConnection,
+        connect(options, callback) {
+            connect(options, (...result) => {
+                const [error, socket] = result;
+                current = error === null ? traceConnection(socket) : undefined;
+                callback(...result);
+            });
+        },
+    });
+    const dispatch = client.dispatch.bind(client);
+    client.dispatch = (options, handler) => {
+        (options as Partial<TracedDispatch>).traceConnection?.(() => current);
+        return dispatch(options, handler);
+    };
+    return client;
+}
+
+function traceConnection(socket: Socket): Connection {
+    const connection: Connection = {
+        exchanges: 0,
+        ids: new Set(),
+        receivedAtEnd: 0,
+        onReadable: undefined,
+        received: () => socket.bytesRead,
+        discard: () => void socket.destroy(),
+    };
+    socket.prependListener("error", hideReset);
+    socket.on("readable", () => {
+        if (connection.onReadable !== undefined) {
+            connection.onReadable();
+        } else if (socket.bytesRead > connection.receivedAtEnd && !socket.destroyed) {
+            socket.destroy();
+        }
+    });
+    return connection;
+}
+
+/**
+ * The client library takes a reset for the end of a response without a length, and ends the process by an assertion
+ * when such a response is paused. It knows a reset by this code.
+ */
+function hideReset(error: NodeJS.ErrnoException): void {
+    if (error.code === "ECONNRESET") {
+        error.code = connectionErrorCode;
+    }
+}
--- a/packages/daemon/src/adapters/calls/constants.ts
+++ b/packages/daemon/src/adapters/calls/constants.ts
@@ -23,6 +23,22 @@
 export const poolIdleMs = 4_000;
 /** Time for a connection to another daemon or a backend server: twenty round trips between regions. */
 export const connectTimeoutMs = 500;
+/**
+ * Exchanges that one connection carries. The ids of all of them are kept, some 70 bytes each; web servers close their
+ * kept connections after as many by default.
+ */
+export const maxExchangesPerConnection = 1_000;
+/**
+ * Bytes that may come of a response without any of its body: before its head is complete, and between two parts of a
+ * body. Four times what the HTTP library takes for the headers of one head; 600 s of a 102 each second are 16 KB.
+ */
+export const maxBytesWithoutBody = 65_536;
+/** Largest response that is passed on, in bytes: eight times the largest that was tested. */
+export const maxResponseBytes = 1_073_741_824;
+/** Bytes of a refusal that are read, so that its connection can be kept; a new one costs less than more of them. */
+export const maxRefusalBytes = 65_536;
+/** Time for the rest of a refusal whose head has come, in milliseconds. */
+export const refusalRestMs = 200;
 /** Pools are closed when unused for this time, in milliseconds. */
 export const poolUnusedMs = 60_000;
 /** Gap between the clock's ticks of 100 ms above which the process counts as having been paused, in milliseconds. */
--- a/packages/daemon/src/adapters/calls/dialect.ts
+++ b/packages/daemon/src/adapters/calls/dialect.ts
@@ -38,7 +38,7 @@
     Answer: "answer",
     /** The backend server says that it did not run the call. */
     NotRun: "notRun",
-    /** It does not belong to the call, or cannot be its whole answer. */
+    /** It is no whole answer to a call. */
     Foreign: "foreign",
 } as const;
 export type Verdict = (typeof Verdict)[keyof typeof Verdict];
@@ -47,7 +47,7 @@
     readonly status: number;
     /** Names and values, alternating. */
     readonly raw: readonly string[];
-    /** Id of the call, when its caller gave one. */
+    /** Id of the call, when its request carries one. */
     readonly callId: string | undefined;
 }
 
@@ -72,7 +72,7 @@
  * project's own protocol with each other, whatever the dialect.
  */
 export interface CallDialect {
-    /** Names of the caller's headers, in lower case. */
+    /** Names of the caller's headers, in lower case. Backend servers repeat the first one in their responses. */
     readonly callIdHeader: string;
     readonly deadlineHeader: string;
     /** Reads the caller's deadline in milliseconds; `undefined` for a value that is not valid. */
@@ -83,6 +83,7 @@
     readonly passesHost: boolean;
     match(board: Board, request: DialectRequest): Either<Refusal, DialectMatch>;
     backendHeaders(call: BackendCall): readonly string[];
+    /** Judges a head that certainly belongs to the call. */
     judge(head: ResponseHead): Verdict;
     /** Answer to a call that did not run and never will. */
     notRun(refused: Refusal): OwnAnswer;
--- a/packages/daemon/src/adapters/calls/exchange.ts
+++ b/packages/daemon/src/adapters/calls/exchange.ts
@@ -1,5 +1,10 @@
+import { attribute, Attribution, RejectionCause } from "@tanagertray/core";
 import type { Dispatcher } from "undici";
 import type { Cancellation } from "./cancellation.js";
+import type { Connection, TracedDispatch } from "./connections.js";
+import { maxBytesWithoutBody, maxRefusalBytes, maxResponseBytes, refusalRestMs } from "./constants.js";
+import { headerValues } from "./headers.js";
+import { ReceptionKind, type Reception, type Rejection, type ResponseSink } from "./reception.js";
 import type { Timer, Timers } from "./timers.js";
 
 export const ExchangeEnd = {
@@ -13,15 +18,14 @@
 } as const;
 export type ExchangeEnd = (typeof ExchangeEnd)[keyof typeof ExchangeEnd];
 
-/** Receives a response. `write` returns false to pause; `resume` is called when it may go on. */
-export interface ResponseSink {
-    write(chunk: Buffer): boolean;
-    onceWritable(resume: () => void): void;
-    end(): void;
-}
-
 export interface ExchangeOptions {
     readonly dispatcher: Dispatcher;
+    /** Opens a new connection for an exchange that no kept connection may carry. */
+    readonly openSingle: () => Dispatcher;
+    /** Id that the request carries and its response repeats; `undefined` when it carries none. */
+    readonly id: string | undefined;
+    /** Header by which responses repeat the id, in lower case. */
+    readonly idHeader: string;
     readonly method: string;
     readonly path: string;
     readonly headers: string[];
@@ -35,10 +39,8 @@
     /** Called just before the first byte is written; false forbids it. */
     readonly mayWrite: () => boolean;
     readonly onInformation: (status: number) => void;
-    /** Without a sink the response is none of this call's, and its connection is discarded. */
-    readonly onHead: (status: number, rawHeaders: string[]) => ResponseSink | undefined;
-    /** Number of connections to the address that were reset so far. */
-    readonly resets: () => number;
+    /** Called with a head that certainly belongs to this exchange. */
+    readonly onHead: (status: number, rawHeaders: string[]) => Reception;
 }
 
 export interface ExchangeResult {
@@ -46,134 +48,235 @@
     /** The connection went silent or broke, so that its neighbours in the pool are suspect. */
     readonly silent: boolean;
     readonly error?: Error;
+    readonly rejection?: Rejection;
 }
 
-const foreign = new Error("the response belongs to another call or is malformed");
-const cutShort = new Error("the connection was reset before the end of the response");
+const rejected = new Error("the response belongs to another exchange or is malformed");
+const endless = new Error("the response has no end within its limit");
 const silence = new Error("the connection made no progress within its limit");
+const unusable = new Error("the connection may not carry this exchange");
 
 /** State of one exchange. */
 interface Progress {
     readonly options: ExchangeOptions;
     readonly resolve: (result: ExchangeResult) => void;
+    currentConnection: () => Connection | undefined;
     /** Set when the first byte is about to be written. */
-    controller: Dispatcher.DispatchController | undefined;
+    started: Started | undefined;
     /** Set when a response head has been passed on. */
     sink: ResponseSink | undefined;
-    /** Resets before the head, when only the end of the connection ends the response. */
-    resetsBefore: number | undefined;
+    /** The head of the response, passed on or not. */
+    head: Rejection["head"];
+    /** Whether the connection may not be used again. */
+    discards: boolean;
     settled: boolean;
     timer: Timer | undefined;
     cancel: () => void;
 }
 
+/** What is known of the connection of an exchange that was begun. */
+interface Started {
+    readonly controller: Dispatcher.DispatchController;
+    readonly connection: Connection | undefined;
+    readonly exchangesBefore: number;
+    /** Bytes that the connection had received at its begin. */
+    readonly receivedBefore: number;
+    /** Bytes received when a part of the body came last. */
+    receivedAtBody: number;
+    /** Bytes received and parsed. */
+    parsed: number;
+    paused: boolean;
+}
+
 /** Sends one request and passes on its response, each with back-pressure. */
-export function exchange(options: ExchangeOptions): Promise<ExchangeResult> {
+export async function exchange(options: ExchangeOptions): Promise<ExchangeResult> {
+    if (options.id !== undefined) {
+        const result = await exchangeOn(options.dispatcher, options);
+        if (result.error !== unusable) {
+            return result;
+        }
+    }
+    const single = options.openSingle();
+    const result = await exchangeOn(single, options);
+    void single.close();
+    return result;
+}
+
+function exchangeOn(dispatcher: Dispatcher, options: ExchangeOptions): Promise<ExchangeResult> {
     return new Promise(resolve => {
         const progress: Progress = {
             options,
             resolve,
-            controller: undefined,
+            currentConnection: () => undefined,
+            started: undefined,
             sink: undefined,
-            resetsBefore: undefined,
+            head: undefined,
+            discards: false,
             settled: false,
             timer: undefined,
-            cancel: () => fail(progress, options.cancellation.reason as Error),
+            cancel: () => fail(progress, options.cancellation.reason as Error, RejectionCause.CallOver),
         };
         if (options.cancellation.cancelled) {
             return progress.cancel();
         }
         options.cancellation.onCancel(progress.cancel);
         try {
-            options.dispatcher.dispatch(requestOf(options), createHandler(progress));
+            dispatcher.dispatch(requestOf(progress), createHandler(progress));
         } catch (error) {
-            fail(progress, error as Error);
+            fail(progress, error as Error, RejectionCause.Broken);
         }
     });
 }
 
-function requestOf(options: ExchangeOptions): Dispatcher.DispatchOptions {
+function requestOf(progress: Progress): TracedDispatch {
+    const { method, path, headers, body } = progress.options;
     return {
-        method: options.method as Dispatcher.HttpMethod,
-        path: options.path,
-        headers: options.headers,
-        body: options.body as never,
+        method: method as Dispatcher.HttpMethod,
+        path,
+        headers,
+        body: body as never,
         headersTimeout: 0,
         bodyTimeout: 0,
+        traceConnection: current => (progress.currentConnection = current),
     };
 }
 
-function settle(progress: Progress, end: ExchangeEnd, error?: Error): void {
+function settle(progress: Progress, result: Omit<ExchangeResult, "silent">): void {
     if (progress.settled) {
         return;
     }
     progress.settled = true;
     progress.timer?.cancel();
     progress.options.cancellation.offCancel(progress.cancel);
-    progress.resolve({ end, silent: error === silence, ...(error === undefined ? {} : { error }) });
+    progress.resolve({ ...result, silent: result.error === silence });
 }
 
 /** Ends the exchange and discards its connection. */
-function fail(progress: Progress, error: Error): void {
-    const { sink, controller } = progress;
+function fail(progress: Progress, error: Error, cause: RejectionCause): void {
+    const { sink, started } = progress;
     const end =
         sink !== undefined
             ? ExchangeEnd.Truncated
-            : controller !== undefined
+            : started !== undefined
               ? ExchangeEnd.Lost
               : ExchangeEnd.NeverWritten;
-    settle(progress, end, error);
-    controller?.abort(error);
+    const rejection = started === undefined ? undefined : rejectionOf(progress, started, cause);
+    settle(progress, { end, error, ...(rejection === undefined ? {} : { rejection }) });
+    if (started?.connection !== undefined) {
+        started.connection.onReadable = undefined;
+    }
+    started?.controller.abort(error);
+}
+
+/** Describes what came of the response; `undefined` when nothing did. */
+function rejectionOf(progress: Progress, started: Started, cause: RejectionCause): Rejection | undefined {
+    const { connection, exchangesBefore, receivedBefore } = started;
+    const bytes = (connection?.received() ?? 0) - receivedBefore;
+    return bytes > 0 ? { cause, head: progress.head, bytes, exchangesBefore } : undefined;
 }
 
 /** Gives the connection up when nothing is heard on it within the limit. */
 function watch(progress: Progress, limitMs: number): void {
     progress.timer?.cancel();
     if (limitMs > 0) {
-        progress.timer = progress.options.timers.after(limitMs, () => fail(progress, silence));
+        progress.timer = progress.options.timers.after(limitMs, () =>
+            fail(progress, silence, RejectionCause.Silent),
+        );
     }
 }
 
 function createHandler(progress: Progress): Dispatcher.DispatchHandler {
     const { options } = progress;
     return {
-        onRequestStart(started) {
-            if (progress.settled || progress.controller !== undefined || !options.mayWrite()) {
-                started.abort(new Error("the call may not be sent"));
-                return;
+        onRequestStart: controller => begin(progress, controller),
+        onResponseStart(controller, status) {
+            if (!progress.settled && progress.started !== undefined) {
+                const raw = (controller.rawHeaders ?? []) as (Buffer | string)[];
+                takeHead(progress, progress.started, status, raw);
             }
-            progress.controller = started;
-            watch(progress, options.headSilenceMs);
         },
-        onResponseStart(started, status) {
-            if (!progress.settled) {
-                const raw = (started.rawHeaders ?? []) as (Buffer | string)[];
-                takeHead(progress, status, raw);
-            }
-        },
-        onResponseData(started, chunk) {
-            if (!progress.settled && progress.sink !== undefined) {
-                passData(progress, progress.sink, started, chunk);
+        onResponseData(_controller, chunk) {
+            if (!progress.settled && progress.started !== undefined) {
+                takeData(progress, progress.started, chunk);
             }
         },
         onResponseEnd() {
             if (progress.settled) {
                 return;
             }
-            // The client library takes a reset for the end of a response without a length.
-            const { resetsBefore } = progress;
-            if (resetsBefore !== undefined && options.resets() !== resetsBefore) {
-                fail(progress, cutShort);
-                return;
+            const connection = progress.started?.connection;
+            if (connection !== undefined) {
+                connection.onReadable = undefined;
+                connection.receivedAtEnd = connection.received();
+                if (progress.discards) {
+                    connection.discard();
+                }
             }
             progress.sink?.end();
-            settle(progress, ExchangeEnd.Completed);
+            settle(progress, { end: ExchangeEnd.Completed });
         },
-        onResponseError: (_started, error) => fail(progress, error),
+        onResponseError: (_controller, error) => fail(progress, error, RejectionCause.Broken),
     };
+
+    function begin(progress: Progress, controller: Dispatcher.DispatchController): void {
+        const connection = progress.currentConnection();
+        if (progress.settled || progress.started !== undefined) {
+            return controller.abort(new Error("the exchange is over"));
+        }
+        if (connection !== undefined && !mayCarry(connection, options.id)) {
+            return controller.abort(unusable);
+        }
+        if (!options.mayWrite()) {
+            return controller.abort(new Error("the call may not be sent"));
+        }
+        const received = connection?.received() ?? 0;
+        const started: Started = {
+            controller,
+            connection,
+            exchangesBefore: connection?.exchanges ?? 0,
+            receivedBefore: received,
+            receivedAtBody: received,
+            parsed: received,
+            paused: false,
+        };
+        progress.started = started;
+        if (connection !== undefined) {
+            connection.exchanges += 1;
+            connection.ids.add(options.id ?? "");
+            connection.onReadable = () => boundBytes(progress, started, connection);
+        }
+        watch(progress, options.headSilenceMs);
+    }
+}
+
+/** Whether a response on the connection can be told to belong to an exchange with this id. */
+function mayCarry({ exchanges, ids, received, receivedAtEnd }: Connection, id: string | undefined): boolean {
+    const isQuiet = received() === receivedAtEnd;
+    return isQuiet && (exchanges === 0 || (id !== undefined && !ids.has(id)));
+}
+
+/** Ends an exchange whose response goes on without any of its body. Runs when bytes came, before they are parsed. */
+function boundBytes(progress: Progress, started: Started, connection: Connection): void {
+    if (!started.paused && started.parsed - started.receivedAtBody > maxBytesWithoutBody) {
+        fail(progress, endless, RejectionCause.Endless);
+        return;
+    }
+    started.parsed = connection.received();
 }
 
-function takeHead(progress: Progress, status: number, rawHeaders: readonly (Buffer | string)[]): void {
+const causes = {
+    [Attribution.Named]: undefined,
+    [Attribution.Only]: undefined,
+    [Attribution.Other]: RejectionCause.OtherExchange,
+    [Attribution.Unnamed]: RejectionCause.Unnamed,
+} satisfies Record<Attribution, RejectionCause | undefined>;
+
+function takeHead(
+    progress: Progress,
+    started: Started,
+    status: number,
+    rawHeaders: readonly (Buffer | string)[],
+): void {
     const { options } = progress;
     if (status < 200) {
         options.onInformation(status);
@@ -181,39 +284,73 @@
         return;
     }
     const raw = rawHeaders.map(part => (typeof part === "string" ? part : part.toString("latin1")));
-    const sink = options.onHead(status, raw);
-    if (sink === undefined) {
-        fail(progress, foreign);
+    progress.head = { status, raw };
+    const { exchangesBefore } = started;
+    const echoed = headerValues(raw, options.idHeader);
+    const attribution = attribute({ sent: options.id, echoed, exchangesBefore });
+    const cause = causes[attribution] ?? (isPassableCoding(raw) ? undefined : RejectionCause.Coding);
+    if (cause !== undefined) {
+        fail(progress, rejected, cause);
         return;
     }
-    progress.sink = sink;
-    progress.resetsBefore = isFramed(raw) ? undefined : options.resets();
-    watch(progress, options.bodySilenceMs);
+    // A late copy of a response without an id would be taken for the next one.
+    progress.discards = attribution === Attribution.Only;
+    const reception = options.onHead(status, raw);
+    receive[reception.kind](progress, reception as never);
 }
 
-/** Whether the head says where the body ends. */
-function isFramed(raw: readonly string[]): boolean {
-    return raw.some((name, at) => at % 2 === 0 && framingHeaders.has(name.toLowerCase()));
+/** Without a coding, the length or the end of the connection ends the body; the reset of a connection does not. */
+function isPassableCoding(raw: readonly string[]): boolean {
+    return headerValues(raw, "transfer-encoding").every(coding => coding.toLowerCase() === "chunked");
 }
 
-const framingHeaders: ReadonlySet<string> = new Set(["content-length", "transfer-encoding"]);
+const receive = {
+    [ReceptionKind.Pass](progress, { sink }) {
+        progress.sink = sink;
+        watch(progress, progress.options.bodySilenceMs);
+    },
+    [ReceptionKind.Drop](progress) {
+        progress.timer?.cancel();
+        progress.timer = progress.options.timers.after(refusalRestMs, () =>
+            fail(progress, endless, RejectionCause.Endless),
+        );
+    },
+    [ReceptionKind.Reject]: progress => fail(progress, rejected, RejectionCause.NotWhole),
+} satisfies {
+    [K in ReceptionKind]: (progress: Progress, reception: Extract<Reception, { kind: K }>) => void;
+};
 
-function passData(
-    progress: Progress,
-    sink: ResponseSink,
-    started: Dispatcher.DispatchController,
-    chunk: Buffer,
-): void {
-    const { bodySilenceMs } = progress.options;
-    watch(progress, bodySilenceMs);
+function takeData(progress: Progress, started: Started, chunk: Buffer): void {
+    const { sink, options } = progress;
+    const received = started.connection?.received() ?? 0;
+    started.receivedAtBody = received;
+    const limit = sink === undefined ? maxRefusalBytes : maxResponseBytes;
+    if (received - started.receivedBefore > limit) {
+        fail(progress, endless, RejectionCause.TooLarge);
+        return;
+    }
+    if (sink === undefined) {
+        return;
+    }
+    watch(progress, options.bodySilenceMs);
     if (!sink.write(chunk)) {
         progress.timer?.cancel();
-        started.pause();
+        started.paused = true;
+        started.controller.pause();
         sink.onceWritable(() => {
             if (!progress.settled) {
-                watch(progress, bodySilenceMs);
-                started.resume();
+                resume(progress, started);
             }
         });
     }
 }
+
+function resume(progress: Progress, started: Started): void {
+    const received = started.connection?.received() ?? 0;
+    // What came meanwhile is still to be parsed.
+    started.receivedAtBody = received;
+    started.parsed = received;
+    started.paused = false;
+    watch(progress, progress.options.bodySilenceMs);
+    started.controller.resume();
+}
--- a/packages/daemon/src/adapters/calls/handleHop.ts
+++ b/packages/daemon/src/adapters/calls/handleHop.ts
@@ -4,10 +4,10 @@
 import { encodeCapacity } from "./capacityHeader.js";
 import { keptBodyBytes, progressMs } from "./constants.js";
 import type { CallContext } from "./context.js";
-import { UnknownCause } from "./dialect.js";
+import { UnknownCause, type OwnAnswer } from "./dialect.js";
 import { ExchangeEnd } from "./exchange.js";
 import { responseHeaders } from "./headers.js";
-import { verifyHop } from "./hopToken.js";
+import { attemptHeader, claimedAttemptId, verifyHop } from "./hopToken.js";
 import {
     checkAdmitting,
     earliestArrival,
@@ -43,7 +43,8 @@
     if (checked.isLeft()) {
         const refused = checked.extract() as Refusal;
         context.telemetry.event("call.hopRefused", "info", { reason: refused.reason });
-        return sendOwn(response, answerNotRun(refused), {
+        const attemptId = claimedAttemptId(String(request.headers["tanagertray-hop"]));
+        return sendOwn(response, named(answerNotRun(refused), attemptId), {
             close: refused.reason === RefusalReason.Draining,
         });
     }
@@ -80,7 +81,6 @@
         matched,
         attemptId,
         callId,
-        givenCallId: callId,
         deadline,
         startBy,
         method: call.method,
@@ -104,7 +104,7 @@
             const closing = closes ? ["connection", "close"] : [];
             response.writeHead(status, [
                 ...responseHeaders(raw, keptHeaders),
-                ...["tanagertray-load", load],
+                ...["tanagertray-load", load, attemptHeader, attemptId],
                 ...encodeCapacity(context.admissions.report(matched.service)),
                 ...closing,
             ]);
@@ -118,8 +118,8 @@
         request.resume();
     }
     outcome.caseOf({
-        Left: refused => refuse(context, response, matched.service, refused),
-        Right: ({ end }) => answerByEnd[end](response),
+        Left: refused => sendOwn(response, named(refusalOf(context, matched.service, refused), attemptId)),
+        Right: ({ end }) => answerByEnd[end](response, attemptId),
     });
     const reason = outcome.caseOf<string>({ Left: refused => refused.reason, Right: ({ end }) => end });
     span.end(reason !== ExchangeEnd.Completed, {
@@ -131,20 +131,28 @@
 }
 
 /** Refuses a call with what the next choice of the entry daemon needs to know of this host. */
-function refuse(context: CallContext, response: ServerResponse, service: Service, refused: Refusal): void {
+function refusalOf(context: CallContext, service: Service, refused: Refusal): OwnAnswer {
     const answer = answerNotRun(refused);
     const [name, capacity] = encodeCapacity(context.admissions.report(service));
     const known = name === undefined || capacity === undefined ? {} : { [name]: capacity };
-    sendOwn(response, { ...answer, headers: { ...answer.headers, ...known } });
+    return { ...answer, headers: { ...answer.headers, ...known } };
+}
+
+/** Says to which attempt an answer belongs. */
+function named(answer: OwnAnswer, attemptId: string | undefined): OwnAnswer {
+    return attemptId === undefined
+        ? answer
+        : { ...answer, headers: { ...answer.headers, [attemptHeader]: attemptId } };
 }
 
 const answerByEnd = {
     [ExchangeEnd.Completed]: () => undefined,
-    [ExchangeEnd.NeverWritten]: response =>
-        sendOwn(response, answerNotRun(refusal(RefusalReason.Unreachable))),
-    [ExchangeEnd.Lost]: response => sendOwn(response, ownDialect.unknown(UnknownCause.Lost)),
+    [ExchangeEnd.NeverWritten]: (response, attemptId) =>
+        sendOwn(response, named(answerNotRun(refusal(RefusalReason.Unreachable)), attemptId)),
+    [ExchangeEnd.Lost]: (response, attemptId) =>
+        sendOwn(response, named(ownDialect.unknown(UnknownCause.Lost), attemptId)),
     [ExchangeEnd.Truncated]: resetConnection,
-} satisfies Record<ExchangeEnd, (response: ServerResponse) => void>;
+} satisfies Record<ExchangeEnd, (response: ServerResponse, attemptId: string) => void>;
 
 function verify(context: CallContext, call: IncomingCall): Either<Refusal, VerifiedHop> {
     const own = (name: string) => call.head.own.get(`tanagertray-${name}`) ?? "";
--- a/packages/daemon/src/adapters/calls/headers.ts
+++ b/packages/daemon/src/adapters/calls/headers.ts
@@ -109,6 +109,19 @@
     return undefined;
 }
 
+/** Values of all headers of that name, which is given in lower case. */
+export function headerValues(raw: readonly string[], name: string): readonly string[] {
+    let values = noValues;
+    for (let i = 0; i + 1 < raw.length; i += 2) {
+        if (raw[i]?.length === name.length && raw[i]?.toLowerCase() === name) {
+            values = [...values, raw[i + 1] as string];
+        }
+    }
+    return values;
+}
+
+const noValues: readonly string[] = [];
+
 function isDropped(name: string, nominated: ReadonlySet<string>): boolean {
     return hopByHop.has(name) || nominated.has(name) || name.startsWith(ownPrefix) || name === "traceparent";
 }
--- a/packages/daemon/src/adapters/calls/hopToken.ts
+++ b/packages/daemon/src/adapters/calls/hopToken.ts
@@ -23,6 +23,17 @@
     return `${claims.attemptId};${now};${mac}`;
 }
 
+/** Header by which the response to a hop repeats the attempt id. */
+export const attemptHeader = "tanagertray-attempt-id";
+
+/**
+ * Attempt id that a header claims, for the response to it alone: an unsigned or forged one only names the response
+ * that goes back on the same connection. Undefined when the header is malformed.
+ */
+export function claimedAttemptId(header: string): string | undefined {
+    return tokenPattern.exec(header)?.[1];
+}
+
 const tokenPattern = /^([0-9a-f-]{36});(\d{1,16});([0-9a-f]{64})?$/;
 
 /**
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -4,18 +4,18 @@
 import { bodySilenceMs, maxQueueMs } from "./constants.js";
 import type { CallContext } from "./context.js";
 import { Verdict } from "./dialect.js";
-import { exchange, ExchangeEnd, type ExchangeResult, type ResponseSink } from "./exchange.js";
-import type { BodyAttempt } from "./requestBody.js";
+import { exchange, ExchangeEnd, type ExchangeResult } from "./exchange.js";
+import { headerValue } from "./headers.js";
 import { deadlinePassed } from "./incoming.js";
-import { discardingSink } from "./responses.js";
+import { ReceptionKind, type Reception, type Rejection, type ResponseSink } from "./reception.js";
+import { noteRejection, type RejectionSource } from "./rejections.js";
+import type { BodyAttempt } from "./requestBody.js";
 
 /** A call to a backend server of this host. */
 export interface LocalCall {
     readonly matched: MatchedCall;
     readonly attemptId: string;
     readonly callId: string;
-    /** Id that the caller itself gave; the backend server repeats it where the dialect says so. */
-    readonly givenCallId: string | undefined;
     readonly deadline: number;
     /** The call is not written from then, or is refused before. */
     readonly startBy: number;
@@ -72,20 +72,17 @@
     }
 
     const startedAt = context.now();
+    const { dialect } = context;
+    const headers = headersFor(context, call, slot.server.id);
+    const id = headerValue(headers, dialect.callIdHeader);
     const result = await exchange({
+        id,
+        idHeader: dialect.callIdHeader,
+        openSingle: () => context.pools.openSingle(address),
         dispatcher: context.pools.get(address, Math.min(service.connections, connections ?? Infinity)),
         method: call.method,
         path: call.path,
-        headers: [
-            ...call.headers,
-            ...context.dialect.backendHeaders({
-                caller: call.matched.caller,
-                callId: call.callId,
-                deadlineMs: Math.max(1, remainingMs(call.deadline, context.now())),
-                traceparent: call.traceparent,
-                server: slot.server.id,
-            }),
-        ],
+        headers,
         body: call.body.chunks,
         cancellation: call.control,
         timers: context.timers,
@@ -93,14 +90,17 @@
         bodySilenceMs,
         mayWrite,
         onInformation: () => undefined,
-        resets: () => context.pools.resets(address),
         onHead(status, raw) {
             context.pools.noteHeard(address);
-            const verdict = context.dialect.judge({ status, raw, callId: call.givenCallId });
+            const verdict = dialect.judge({ status, raw, callId: id });
             return takeHead[verdict](call, { status, raw, refuse: reason => (refusedByServer = reason) });
         },
     });
     context.fates.finish(call.attemptId);
+    if (result.rejection !== undefined) {
+        const source = { callId: call.callId, id, server: slot.server.id, address };
+        noteRejectedServer(context, source, result.rejection);
+    }
     // A passed deadline alone may be a slow call. The other connections are suspect when nothing else
     // was heard from the backend server meanwhile.
     const quiet = result.error === deadlinePassed && !context.pools.heardSince(address, startedAt);
@@ -127,7 +127,31 @@
     return Right(result);
 }
 
-interface ServerHead {
+/** What a call to a backend server says: the caller's own headers, and those of the daemon. */
+function headersFor({ dialect, now }: CallContext, call: LocalCall, server: string): string[] {
+    const own = dialect.backendHeaders({
+        caller: call.matched.caller,
+        callId: call.callId,
+        deadlineMs: Math.max(1, remainingMs(call.deadline, now())),
+        traceparent: call.traceparent,
+        server,
+    });
+    return [...call.headers, ...own];
+}
+
+function noteRejectedServer(
+    context: CallContext,
+    source: Pick<RejectionSource, "callId" | "id" | "server" | "address">,
+    rejection: Rejection,
+): void {
+    const { dialect } = context;
+    const { id } = source;
+    const saysNotRun: RejectionSource["saysNotRun"] = ({ status, raw }) =>
+        dialect.judge({ status, raw, callId: id }) === Verdict.NotRun;
+    noteRejection(context, { ...source, idHeader: dialect.callIdHeader, saysNotRun }, rejection);
+}
+
+interface JudgedHead {
     readonly status: number;
     readonly raw: string[];
     readonly refuse: (refused: Refusal) => void;
@@ -135,14 +159,17 @@
 
 /** What happens with a response head, by what the dialect says of it. */
 const takeHead = {
-    [Verdict.Answer]: (call, { status, raw }) => call.onHead(status, raw),
+    [Verdict.Answer]: (call, { status, raw }) => ({
+        kind: ReceptionKind.Pass,
+        sink: call.onHead(status, raw),
+    }),
     [Verdict.NotRun]: (_call, { status, refuse }) => {
         const isReplaced = status === misdirectedStatus;
         refuse(refusal(isReplaced ? RefusalReason.BackendReplaced : RefusalReason.BackendRefused));
-        return discardingSink;
+        return { kind: ReceptionKind.Drop };
     },
-    [Verdict.Foreign]: () => undefined,
-} satisfies Record<Verdict, (call: LocalCall, head: ServerHead) => ResponseSink | undefined>;
+    [Verdict.Foreign]: () => ({ kind: ReceptionKind.Reject }),
+} satisfies Record<Verdict, (call: LocalCall, head: JudgedHead) => Reception>;
 
 /** RFC 9110, section 15.5.20. */
 const misdirectedStatus = 421;
--- a/packages/daemon/src/adapters/calls/pools.ts
+++ b/packages/daemon/src/adapters/calls/pools.ts
@@ -1,27 +1,22 @@
-import { buildConnector, Pool } from "undici";
-import { connectTimeoutMs, poolIdleMs, poolUnusedMs } from "./constants.js";
+import { Pool, type Dispatcher } from "undici";
+import { createTracedClient } from "./connections.js";
+import { poolUnusedMs } from "./constants.js";
 
 interface PoolEntry {
     readonly pool: Pool;
     usedAt: number;
     /** When the last response head came, on any of its connections. */
     heardAt: number;
-    readonly failures: ConnectionFailures;
-}
-
-/** Connections of a pool that ended with an error. */
-interface ConnectionFailures {
-    count: number;
 }
 
 /** Connections to other daemons and to backend servers, by address. */
 export interface Pools {
     get(address: string, connections: number): Pool;
+    /** A new connection for one exchange, apart from the pool. The caller closes it. */
+    openSingle(address: string): Dispatcher;
     noteHeard(address: string): void;
     /** Whether a response head came from the address since then. */
     heardSince(address: string, instant: number): boolean;
-    /** Connections to the address that were reset so far. */
-    resets(address: string): number;
     /** Lets calls in flight finish on the old connections and gives new calls new connections. */
     retire(address: string): void;
     closeUnused(): void;
@@ -51,6 +46,7 @@
             entries.set(address, entry);
             return entry.pool;
         },
+        openSingle: address => createTracedClient(originOf(address)),
         noteHeard(address) {
             const entry = entries.get(address);
             if (entry !== undefined) {
@@ -58,7 +54,6 @@
             }
         },
         heardSince: (address, instant) => (entries.get(address)?.heardAt ?? -Infinity) >= instant,
-        resets: address => entries.get(address)?.failures.count ?? 0,
         retire,
         closeUnused() {
             const limit = now() - poolUnusedMs;
@@ -75,20 +70,11 @@
     };
 }
 
+function originOf(address: string): string {
+    return `http://${address}`;
+}
+
 function openEntry(address: string, connections: number): PoolEntry {
-    const failures: ConnectionFailures = { count: 0 };
-    const connect = buildConnector({ timeout: connectTimeoutMs });
-    const pool = new Pool(`http://${address}`, {
-        connections,
-        pipelining: 1,
-        keepAliveTimeout: poolIdleMs,
-        keepAliveMaxTimeout: poolIdleMs,
-        connect(options, callback) {
-            connect(options, (...result) => {
-                result[1]?.prependListener("error", () => (failures.count += 1));
-                callback(...result);
-            });
-        },
-    });
-    return { pool, usedAt: 0, heardAt: -Infinity, failures };
+    const pool = new Pool(originOf(address), { connections, factory: createTracedClient });
+    return { pool, usedAt: 0, heardAt: -Infinity };
 }
--- a/packages/daemon/src/adapters/calls/responses.ts
+++ b/packages/daemon/src/adapters/calls/responses.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from "node:http";
 import type { OwnAnswer } from "./dialect.js";
-import type { ResponseSink } from "./exchange.js";
+import type { ResponseSink } from "./reception.js";
 
 export interface AnswerOptions {
     /** Whether the connection is to be closed, as when the daemon stops. */
@@ -85,10 +85,3 @@
         },
     };
 }
-
-/** Takes a response that is not passed on. */
-export const discardingSink: ResponseSink = {
-    write: () => true,
-    onceWritable: () => undefined,
-    end: () => undefined,
-};
--- a/packages/daemon/src/adapters/log.ts
+++ b/packages/daemon/src/adapters/log.ts
@@ -14,6 +14,7 @@
     "call.attemptFailed",
     "call.backendRefused",
     "call.hopRefused",
+    "call.answerRejected",
 ]);
 const levels: Readonly<Record<string, number>> = { error: 0, warn: 1, info: 2, debug: 3 };
 /** Period of the limit of lines, in milliseconds. */
--- a/packages/standin/src/backend/calls.ts
+++ b/packages/standin/src/backend/calls.ts
@@ -23,6 +23,10 @@
     parts: BackendParts,
 ): Promise<void> {
     const { board, counters } = parts;
+    const callId = request.headers[Header.CallId];
+    if (callId !== undefined) {
+        response.setHeader(Header.CallId, callId);
+    }
     const deadlineMs = readDeadline(request);
     const refusal = findRefusal(board, deadlineMs);
     if (refusal !== undefined) {
--- a/packages/standin/src/headers.ts
+++ b/packages/standin/src/headers.ts
@@ -1,6 +1,7 @@
 /** Header names that the stand-ins share with the daemons and with each other. */
 export const Header = {
     Caller: "tanagertray-caller",
+    CallId: "tanagertray-call-id",
     DeadlineMs: "tanagertray-deadline-ms",
     Outcome: "tanagertray-outcome",
     Reason: "tanagertray-reason",
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -8,3 +8,4 @@
 export * from "./headers.js";
 export * from "./site/metadataStore.js";
 export * from "./site/siteServer.js";
+export * from "./site/siteRun.js";
--- a/packages/standin/src/site/siteServer.ts
+++ b/packages/standin/src/site/siteServer.ts
@@ -1,47 +1,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { request as send } from "undici";
-
-/** How the stand-in answers calls. */
-export const AnswerMode = {
-    Whole: "whole",
-    /** 503 that says that the call did not run. */
-    Shed: "shed",
-    /** Another server has the address: 421. */
-    Replaced: "replaced",
-    /** Fewer bytes than the length says, then a reset. */
-    Truncated: "truncated",
-    /** No length, and a reset in the middle of the body. */
-    UnframedReset: "unframedReset",
-    /** No length, and the whole body before the end of the connection. */
-    Unframed: "unframed",
-    /** The id of another call. */
-    OtherId: "otherId",
-    /** No signature. */
-    Unsigned: "unsigned",
-    Encoded: "encoded",
-    /** A second whole answer, with the id of the call before, behind the first. */
-    Twice: "twice",
-    /** Runs the call and closes the connection without an answer. */
-    LostAnswer: "lostAnswer",
-    /** 503 without a word on whether the call ran. */
-    BarePromise: "barePromise",
-    /** Answers before the body was read. */
-    Early: "early",
-} as const;
-export type AnswerMode = (typeof AnswerMode)[keyof typeof AnswerMode];
-
-export interface SiteRun {
-    readonly id: string;
-    readonly method: string;
-    readonly url: string;
-    readonly headers: Readonly<Record<string, string | string[] | undefined>>;
-    readonly bodyBytes: number;
-    readonly startedAt: number;
-    /** The connection closed before the answer was sent. */
-    cancelled: boolean;
-}
+import { answers, takeRefusal } from "./siteAnswers.js";
+import { AnswerMode, type SiteRun } from "./siteRun.js";
 
 export interface SiteServerOptions {
     id: string;
@@ -62,6 +24,8 @@
     readonly address: string;
     readonly runs: readonly SiteRun[];
     readonly arrivals: () => number;
+    /** Bytes of answers without end that were written. */
+    readonly flooded: () => number;
     setMode(mode: AnswerMode): void;
     setWorkMs(workMs: number): void;
     /** Announces `draining`; resolves with the status of the acknowledgement. */
@@ -73,7 +37,7 @@
     close(): Promise<void>;
 }
 
-interface SiteState {
+export interface SiteState {
     readonly options: Required<SiteServerOptions>;
     readonly runs: SiteRun[];
     arrivals: number;
@@ -82,10 +46,10 @@
     workMs: number;
     state: "ready" | "draining";
     sequence: number;
+    /** Bytes of answers without end that were written. */
+    flooded: number;
 }
 
-const answerBody = "answer of the backend server";
-
 /**
  * Starts a stand-in for a backend server of the users' platform, which announces itself to the daemon on its host.
  *
@@ -106,6 +70,7 @@
         workMs: resolved.workMs,
         state: "ready",
         sequence: 0,
+        flooded: 0,
     };
     const server = createServer((request, response) => {
         void serve(state, request, response);
@@ -119,6 +84,7 @@
         address,
         runs: state.runs,
         arrivals: () => state.arrivals,
+        flooded: () => state.flooded,
         setMode: mode => (state.mode = mode),
         setWorkMs: workMs => (state.workMs = workMs),
         drain() {
@@ -173,14 +139,16 @@
 async function serve(state: SiteState, request: IncomingMessage, response: ServerResponse): Promise<void> {
     state.arrivals += 1;
     const mode = state.mode;
-    const refuse = refusals[mode];
-    if (refuse !== undefined) {
+    const id = String(request.headers["x-attempt-id"] ?? "");
+    const refused = takeRefusal(mode, id, request.socket);
+    if (refused !== undefined) {
         request.resume();
-        response.writeHead(refuse.status, refuse.headers).end();
+        response.writeHead(refused.status, refused.headers).end();
         return;
     }
     const run: SiteRun = {
-        id: String(request.headers["x-attempt-id"] ?? ""),
+        id,
+        number: state.runs.length + 1,
         method: request.method ?? "",
         url: request.url ?? "",
         headers: request.headers,
@@ -207,75 +175,3 @@
     }
     return bytes;
 }
-
-const refusals: { [K in AnswerMode]?: { status: number; headers: Record<string, string> } } = {
-    [AnswerMode.Shed]: { status: 503, headers: { "x-not-executed": "1" } },
-    [AnswerMode.Replaced]: { status: 421, headers: { "x-instance-id": "i-other" } },
-};
-
-function headersOf({ id }: SiteRun, { running, options }: SiteState): Record<string, string> {
-    return {
-        "x-attempt-id": id,
-        "x-server-signature": "3e1b.07.5a2.600.0.c9f2a4d1",
-        "x-server-load": `${running},0,${options.slots}`,
-    };
-}
-
-function answerWhole(response: ServerResponse, run: SiteRun, state: SiteState): void {
-    response.writeHead(200, { ...headersOf(run, state), "content-length": answerBody.length });
-    response.end(answerBody);
-}
-
-/** Writes bytes to the connection beside the HTTP library, which would not send such an answer. */
-function writeRaw(response: ServerResponse, head: readonly string[], body: string): Socket | undefined {
-    const socket = response.socket ?? undefined;
-    socket?.write(`HTTP/1.1 200 OK\r\n${head.join("\r\n")}\r\n\r\n${body}`);
-    return socket;
-}
-
-function headLines(run: SiteRun, state: SiteState): string[] {
-    return Object.entries(headersOf(run, state)).map(([name, value]) => `${name}: ${value}`);
-}
-
-/** Time between the bytes of a cut answer and its cut, so that both reach the daemon apart, in milliseconds. */
-const cutAfterMs = 20;
-
-type Answer = (response: ServerResponse, run: SiteRun, state: SiteState) => void;
-
-const answers = {
-    [AnswerMode.Whole]: answerWhole,
-    [AnswerMode.Shed]: answerWhole,
-    [AnswerMode.Replaced]: answerWhole,
-    [AnswerMode.Early]: answerWhole,
-    [AnswerMode.Truncated]: (response, run, state) => {
-        const lines = [...headLines(run, state), `content-length: ${answerBody.length + 10}`];
-        const socket = writeRaw(response, lines, answerBody);
-        setTimeout(() => socket?.end(), cutAfterMs);
-    },
-    [AnswerMode.UnframedReset]: (response, run, state) => {
-        const socket = writeRaw(response, [...headLines(run, state), "connection: close"], answerBody);
-        setTimeout(() => socket?.resetAndDestroy(), cutAfterMs);
-    },
-    [AnswerMode.Unframed]: (response, run, state) => {
-        const socket = writeRaw(response, [...headLines(run, state), "connection: close"], answerBody);
-        setTimeout(() => socket?.end(), cutAfterMs);
-    },
-    [AnswerMode.OtherId]: (response, run, state) => {
-        answerWhole(response, { ...run, id: "of-another-call" }, state);
-    },
-    [AnswerMode.Unsigned]: (response, run) => {
-        response.writeHead(200, { "x-attempt-id": run.id }).end(answerBody);
-    },
-    [AnswerMode.Encoded]: (response, run, state) => {
-        response.writeHead(200, { ...headersOf(run, state), "content-encoding": "gzip" }).end(answerBody);
-    },
-    [AnswerMode.Twice]: (response, run, state) => {
-        const lines = [...headLines(run, state), `content-length: ${answerBody.length}`];
-        const again = `HTTP/1.1 200 OK\r\n${lines.join("\r\n")}\r\n\r\n${answerBody}`;
-        writeRaw(response, lines, `${answerBody}${again}`);
-    },
-    [AnswerMode.LostAnswer]: response => void response.socket?.resetAndDestroy(),
-    [AnswerMode.BarePromise]: (response, run, state) => {
-        response.writeHead(503, headersOf(run, state)).end();
-    },
-} satisfies Record<AnswerMode, Answer>;
