--- /dev/null
+++ b/packages/daemon/features/answerEnds.feature
@@ -0,0 +1,43 @@
+Feature: The end of a connection is not taken for the end of an answer
+
+    # Guards against a cut answer that passes as whole because the count of resets was lost with its pool.
+    @own-answer
+    Scenario: An answer without a length that is reset after its connections were replaced is not whole
+        Given a backend server that sends half an answer without a length
+        When its connections are replaced and the answer is reset
+        Then the exchange ends "truncated" with "first half"
+
+    # Guards against a reset that the event loop reports as an end, because it comes together with data.
+    @own-answer
+    Scenario: An answer without a length is not whole when its last bytes and a reset arrive together
+        Given a backend server that sends half an answer without a length
+        When more of the answer and a reset arrive together
+        Then the exchange ends "truncated" with "first half, second half"
+
+    # Guards against a reset of another connection that cuts a whole answer.
+    @own-answer
+    Scenario: An answer without a length is whole although another connection to its backend server was reset
+        Given a backend server that sends half an answer without a length
+        When another connection is reset and the answer ends
+        Then the exchange ends "completed" with "first half, second half"
+
+    # Guards against a daemon process that ends with the connection of an answer which a slow caller holds up.
+    @own-answer
+    Scenario Outline: An answer <framing> that <ends> while its caller reads slowly leaves the process running
+        Given a backend server that sends half an answer <framing>
+        And the caller reads nothing yet
+        When the answer <ends>
+        Then the exchange ends "<end>" with "<body>"
+
+        Examples:
+            | framing          | ends      | end       | body                    |
+            | without a length | ends      | completed | first half, second half |
+            | without a length | is reset  | truncated | first half              |
+            | in chunks        | is broken | truncated | first half              |
+            | in chunks        | is reset  | truncated | first half              |
+
+    # Guards against a process that ends because a connection could not be opened.
+    Scenario: A call whose connection is refused was never written
+        Given a backend server that is gone
+        When a call is sent to it
+        Then the exchange ends "neverWritten" with ""
--- a/packages/daemon/features/steps/answers.ts
+++ b/packages/daemon/features/steps/answers.ts
@@ -168,8 +168,7 @@
         const pools = createPools(Date.now);
         const address = `127.0.0.1:${port}`;
         const result = await exchange({
-            dispatcher: pools.get(address, 1),
-            openSingle: () => pools.openSingle(address),
+            connections: pools.get(address, 1),
             id: "a",
             idHeader: "tanagertray-call-id",
             method: "GET",
--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -179,8 +179,7 @@
 
     const { address } = selection.target;
     const result = await exchange({
-        dispatcher: context.pools.get(address, hopConnections),
-        openSingle: () => context.pools.openSingle(address),
+        connections: context.pools.get(address, hopConnections),
         id: attempt.attemptId,
         idHeader: attemptHeader,
         method: call.method,
--- a/packages/daemon/src/adapters/calls/connections.ts
+++ b/packages/daemon/src/adapters/calls/connections.ts
@@ -12,6 +12,10 @@
     receivedAtEnd: number;
     /** Follows the bytes of the exchange in progress. */
     onReadable: (() => void) | undefined;
+    /** Resumes the exchange in progress while it waits for a slow reader. */
+    resume: (() => void) | undefined;
+    /** Whether it ended by a reset. */
+    isCut: boolean;
     /** Bytes received, parsed or not. */
     received(): number;
     /** Ends it once its exchange is over. */
@@ -58,10 +62,12 @@
         ids: new Set(),
         receivedAtEnd: 0,
         onReadable: undefined,
+        resume: undefined,
+        isCut: false,
         received: () => socket.bytesRead,
         discard: () => void socket.destroy(),
     };
-    socket.prependListener("error", hideReset);
+    guardEnd(socket, connection);
     socket.on("readable", () => {
         if (connection.onReadable !== undefined) {
             connection.onReadable();
@@ -73,11 +79,19 @@
 }
 
 /**
- * The client library takes a reset for the end of a response without a length, and ends the process by an assertion
- * when such a response is paused. It knows a reset by this code.
+ * Corrects what the client library makes of the end of a connection. It takes a reset for the end of a response
+ * without a length, and it throws where the connection ends while its parser is paused.
  */
-function hideReset(error: NodeJS.ErrnoException): void {
-    if (error.code === "ECONNRESET") {
-        error.code = connectionErrorCode;
-    }
+function guardEnd(socket: Socket, connection: Connection): void {
+    socket.prependListener("error", (error: NodeJS.ErrnoException) => {
+        if (error.code === "ECONNRESET") {
+            error.code = connectionErrorCode;
+        }
+    });
+    socket.prependListener("end", () => {
+        connection.resume?.();
+        // The event loop reports a reset that comes together with data as an end. Only a connection that was not reset
+        // still has a peer; the name is not asked for before, because the socket keeps it.
+        connection.isCut = socket.remoteAddress === undefined;
+    });
 }
--- a/packages/daemon/src/adapters/calls/exchange.ts
+++ b/packages/daemon/src/adapters/calls/exchange.ts
@@ -4,6 +4,7 @@
 import type { Connection, TracedDispatch } from "./connections.js";
 import { maxBytesWithoutBody, maxRefusalBytes, maxResponseBytes, refusalRestMs } from "./constants.js";
 import { headerValues } from "./headers.js";
+import type { Connections } from "./pools.js";
 import { ReceptionKind, type Reception, type Rejection, type ResponseSink } from "./reception.js";
 import type { Timer, Timers } from "./timers.js";
 
@@ -19,9 +20,8 @@
 export type ExchangeEnd = (typeof ExchangeEnd)[keyof typeof ExchangeEnd];
 
 export interface ExchangeOptions {
-    readonly dispatcher: Dispatcher;
-    /** Opens a new connection for an exchange that no kept connection may carry. */
-    readonly openSingle: () => Dispatcher;
+    /** An exchange that no kept connection may carry gets a new one. */
+    readonly connections: Connections;
     /** Id that the request carries and its response repeats; `undefined` when it carries none. */
     readonly id: string | undefined;
     /** Header by which responses repeat the id, in lower case. */
@@ -52,6 +52,7 @@
 }
 
 const rejected = new Error("the response belongs to another exchange or is malformed");
+const cutShort = new Error("the connection was reset before the end of the response");
 const endless = new Error("the response has no end within its limit");
 const silence = new Error("the connection made no progress within its limit");
 const unusable = new Error("the connection may not carry this exchange");
@@ -91,12 +92,12 @@
 /** Sends one request and passes on its response, each with back-pressure. */
 export async function exchange(options: ExchangeOptions): Promise<ExchangeResult> {
     if (options.id !== undefined) {
-        const result = await exchangeOn(options.dispatcher, options);
+        const result = await exchangeOn(options.connections.dispatcher, options);
         if (result.error !== unusable) {
             return result;
         }
     }
-    const single = options.openSingle();
+    const single = options.connections.openSingle();
     const result = await exchangeOn(single, options);
     void single.close();
     return result;
@@ -164,6 +165,7 @@
     settle(progress, { end, error, ...(rejection === undefined ? {} : { rejection }) });
     if (started?.connection !== undefined) {
         started.connection.onReadable = undefined;
+        started.connection.resume = undefined;
     }
     started?.controller.abort(error);
 }
@@ -205,6 +207,10 @@
                 return;
             }
             const connection = progress.started?.connection;
+            if (connection?.isCut === true) {
+                fail(progress, cutShort, RejectionCause.Broken);
+                return;
+            }
             if (connection !== undefined) {
                 connection.onReadable = undefined;
                 connection.receivedAtEnd = connection.received();
@@ -333,24 +339,34 @@
         return;
     }
     watch(progress, options.bodySilenceMs);
-    if (!sink.write(chunk)) {
-        progress.timer?.cancel();
-        started.paused = true;
-        started.controller.pause();
-        sink.onceWritable(() => {
-            if (!progress.settled) {
-                resume(progress, started);
-            }
-        });
+    // The parser reports an empty chunk when it resumes with nothing left to read.
+    if (chunk.length > 0 && !sink.write(chunk)) {
+        pause(progress, started, sink);
     }
 }
 
-function resume(progress: Progress, started: Started): void {
-    const received = started.connection?.received() ?? 0;
-    // What came meanwhile is still to be parsed.
-    started.receivedAtBody = received;
-    started.parsed = received;
-    started.paused = false;
-    watch(progress, progress.options.bodySilenceMs);
-    started.controller.resume();
+function pause(progress: Progress, started: Started, sink: ResponseSink): void {
+    const { controller, connection } = started;
+    const resume = () => {
+        if (!started.paused || progress.settled) {
+            return;
+        }
+        const received = connection?.received() ?? 0;
+        // What came meanwhile is still to be parsed.
+        started.receivedAtBody = received;
+        started.parsed = received;
+        started.paused = false;
+        if (connection !== undefined) {
+            connection.resume = undefined;
+        }
+        watch(progress, progress.options.bodySilenceMs);
+        controller.resume();
+    };
+    progress.timer?.cancel();
+    started.paused = true;
+    if (connection !== undefined) {
+        connection.resume = resume;
+    }
+    controller.pause();
+    sink.onceWritable(resume);
 }
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -78,8 +78,7 @@
     const result = await exchange({
         id,
         idHeader: dialect.callIdHeader,
-        openSingle: () => context.pools.openSingle(address),
-        dispatcher: context.pools.get(address, Math.min(service.connections, connections ?? Infinity)),
+        connections: context.pools.get(address, Math.min(service.connections, connections ?? Infinity)),
         method: call.method,
         path: call.path,
         headers,
--- a/packages/daemon/src/adapters/calls/pools.ts
+++ b/packages/daemon/src/adapters/calls/pools.ts
@@ -2,8 +2,15 @@
 import { createTracedClient } from "./connections.js";
 import { poolUnusedMs } from "./constants.js";
 
-interface PoolEntry {
-    readonly pool: Pool;
+/** Connections to one address. They stay with an exchange that began on them, also when new calls get others. */
+export interface Connections {
+    readonly dispatcher: Dispatcher;
+    /** A new connection for one exchange, apart from the others. The caller closes it. */
+    openSingle(): Dispatcher;
+}
+
+interface PoolEntry extends Connections {
+    readonly dispatcher: Pool;
     usedAt: number;
     /** When the last response head came, on any of its connections. */
     heardAt: number;
@@ -11,9 +18,7 @@
 
 /** Connections to other daemons and to backend servers, by address. */
 export interface Pools {
-    get(address: string, connections: number): Pool;
-    /** A new connection for one exchange, apart from the pool. The caller closes it. */
-    openSingle(address: string): Dispatcher;
+    get(address: string, connections: number): Connections;
     noteHeard(address: string): void;
     /** Whether a response head came from the address since then. */
     heardSince(address: string, instant: number): boolean;
@@ -34,7 +39,7 @@
         const entry = entries.get(address);
         if (entry !== undefined) {
             entries.delete(address);
-            const done = entry.pool.close().finally(() => closing.delete(done));
+            const done = entry.dispatcher.close().finally(() => closing.delete(done));
             closing.add(done);
         }
     }
@@ -44,9 +49,8 @@
             const entry = entries.get(address) ?? openEntry(address, connections);
             entry.usedAt = now();
             entries.set(address, entry);
-            return entry.pool;
+            return entry;
         },
-        openSingle: address => createTracedClient(originOf(address)),
         noteHeard(address) {
             const entry = entries.get(address);
             if (entry !== undefined) {
@@ -70,11 +74,12 @@
     };
 }
 
-function originOf(address: string): string {
-    return `http://${address}`;
-}
-
 function openEntry(address: string, connections: number): PoolEntry {
-    const pool = new Pool(originOf(address), { connections, factory: createTracedClient });
-    return { pool, usedAt: 0, heardAt: -Infinity };
+    const origin = `http://${address}`;
+    return {
+        dispatcher: new Pool(origin, { connections, factory: createTracedClient }),
+        openSingle: () => createTracedClient(origin),
+        usedAt: 0,
+        heardAt: -Infinity,
+    };
 }
