test(calls): responses of another daemon that do not name the hop; docs of how answers are matched

Cause: the scenarios put faults into backend servers only; the response to a hop has an id of its own.

Change: scenario with a faulty server in place of a daemon; docs/design.md, docs/OPERATIONS.md and docs/proofs.md say how responses are matched, what bounds them, and what the causes of call.answerRejected mean.

--- a/packages/daemon/features/answers.feature
+++ b/packages/daemon/features/answers.feature
@@ -42,6 +42,19 @@
             | one hop from | whole   | unnamed        | unknown | unnamed       |
             | beside       | whole   | refusedUnnamed | unknown | unnamed       |
 
+    # Guards against the response to an earlier hop that is taken for that of the next one.
+    @own-answer
+    Scenario Outline: A response of another daemon that does not name the hop is not passed on
+        Given a faulty server in place of the daemon of the only other host
+        When a call meets <first>, and <second> after it
+        Then the second call gets no answer of another, for "<cause>"
+
+        Examples:
+            | first | second   | cause         |
+            | whole | repeated | otherExchange |
+            | whole | merged   | otherExchange |
+            | whole | unnamed  | unnamed       |
+
     # Guards against kept connections to a server that names no calls: a late copy could not be told from an answer.
     @own-answer
     Scenario Outline: A backend server that names no calls is called on new connections
--- a/packages/daemon/features/steps/answers.ts
+++ b/packages/daemon/features/steps/answers.ts
@@ -133,6 +133,25 @@
     this.received = await callRaw(this, "POST", second);
 });
 
+Given("a faulty server in place of the daemon of the only other host", async function (this: World) {
+    this.deployment = await createDeployment({ hosts: 2, slots: 8, entryWithout: true });
+    this.rawBackend = await openRawBackend();
+    this.deployment.setRecord("h1", { peerAddress: this.rawBackend.address });
+    await sleep(50);
+});
+
+Then("the second call gets no answer of another, for {string}", function (this: World, cause: string) {
+    // The daemon that this server stands in for knows of no run, so the call may be sent again and answered then.
+    const { callId, body } = this.received;
+    const isOwn = this.rawBackend?.runs.some(run => run.callId === callId && run.body === body.toString());
+    assert.ok(resultOf(this.received) !== "completed" || isOwn);
+    const { events } = this.deployment.hosts[0] as TestHost;
+    const causes = events
+        .filter(({ name }) => name === "call.answerRejected")
+        .map(({ fields }) => fields["cause"]);
+    assert.equal(causes[0], cause);
+});
+
 Then("the second call ends as {string}", function (this: World, result: string) {
     assert.equal(resultOf(this.received), result);
     assert.equal(faultOf(this, "POST", this.received), undefined);
--- a/packages/daemon/features/steps/rawBackend.ts
+++ b/packages/daemon/features/steps/rawBackend.ts
@@ -32,6 +32,8 @@
 
 export interface RawRun {
     readonly callId: string;
+    /** Header lines that name the call. */
+    readonly names: string;
     /** The body of its answer. */
     readonly body: string;
 }
@@ -43,7 +45,7 @@
 }
 
 interface RawCall {
-    readonly callId: string;
+    readonly names: string;
     /** Percent or milliseconds, by fault. */
     readonly amount: number;
     /** Last answer on this connection. */
@@ -51,14 +53,23 @@
 }
 
 const outcome = "tanagertray-outcome: not-run";
+const noNames = "tanagertray-call-id: none\r\ntanagertray-attempt-id: none";
+const hopPattern = /\r\ntanagertray-hop: ([0-9a-f-]{36});/;
 const idLine = (callId: string) => `tanagertray-call-id: ${callId}`;
+/** Lines by which a response names its exchange, to a daemon on the same host or on another one. */
+const namesIn = (head: string, callId: string) => {
+    const [, attemptId] = hopPattern.exec(head) ?? [];
+    return attemptId === undefined
+        ? idLine(callId)
+        : `${idLine(callId)}\r\ntanagertray-attempt-id: ${attemptId}`;
+};
 
 function textOf(status: string, lines: readonly string[], body: string): string {
     return `HTTP/1.1 ${status}\r\n${lines.join("\r\n")}\r\n\r\n${body}`;
 }
 
-function wholeOf({ callId, body }: RawRun): string {
-    return textOf("200 OK", [idLine(callId), `content-length: ${body.length}`], body);
+function wholeOf({ names, body }: RawRun): string {
+    return textOf("200 OK", [names, `content-length: ${body.length}`], body);
 }
 
 function refusalOf(lines: readonly string[]): string {
@@ -74,7 +85,7 @@
 
 /** Refusals; what they write is all of the answer. */
 const refusals: Readonly<Partial<Record<RawFault, (call: RawCall) => string>>> = {
-    [RawFault.Refused]: ({ callId }) => refusalOf([idLine(callId)]),
+    [RawFault.Refused]: ({ names }) => refusalOf([names]),
     [RawFault.RefusedUnnamed]: () => refusalOf([]),
 };
 
@@ -85,12 +96,11 @@
     [RawFault.Whole]: answerWhole,
     [RawFault.Refused]: answerWhole,
     [RawFault.RefusedUnnamed]: answerWhole,
-    [RawFault.Chunked]: (socket, { callId, body }) => {
+    [RawFault.Chunked]: (socket, { names, body }) => {
         const chunk = `${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`;
-        socket.write(textOf("200 OK", [idLine(callId), "transfer-encoding: chunked"], chunk));
+        socket.write(textOf("200 OK", [names, "transfer-encoding: chunked"], chunk));
     },
-    [RawFault.Unframed]: (socket, { callId, body }) =>
-        void socket.end(textOf("200 OK", [idLine(callId)], body)),
+    [RawFault.Unframed]: (socket, { names, body }) => void socket.end(textOf("200 OK", [names], body)),
     [RawFault.Unnamed]: (socket, { body }) => {
         socket.write(textOf("200 OK", [`content-length: ${body.length}`], body));
     },
@@ -104,22 +114,22 @@
         socket.write(part(wholeOf(run), amount));
         setTimeout(() => socket.resetAndDestroy(), resetAfterMs);
     },
-    [RawFault.UnframedReset]: (socket, { callId, body }, { amount }) => {
-        socket.write(part(textOf("200 OK", [idLine(callId), "connection: close"], body), amount));
+    [RawFault.UnframedReset]: (socket, { names, body }, { amount }) => {
+        socket.write(part(textOf("200 OK", [names, "connection: close"], body), amount));
         setTimeout(() => socket.resetAndDestroy(), resetAfterMs);
     },
     [RawFault.Repeated]: (socket, run, { amount, last }) => {
         socket.write(last);
         setTimeout(() => socket.write(wholeOf(run)), amount / 4);
     },
-    [RawFault.Merged]: (socket, { callId, body }, { last }) => {
-        const rest = last === "" ? wholeOf({ callId: "none", body }) : last;
-        socket.write(`HTTP/1.1 200 OK\r\n${idLine(callId)}\r\nx-note: ${rest}`);
+    [RawFault.Merged]: (socket, { names, body }, { last }) => {
+        const rest = last === "" ? wholeOf({ callId: "none", names: noNames, body }) : last;
+        socket.write(`HTTP/1.1 200 OK\r\n${names}\r\nx-note: ${rest}`);
     },
     [RawFault.Garbage]: socket => void socket.write("hello\r\n\r\n"),
 } satisfies Record<RawFault, Answer>;
 
-const requestPattern = /^\w+ \/(\w+)\/(\d+)\S* HTTP[^]*?\r\ntanagertray-call-id: (\S+)\r\n/;
+const requestPattern = /^\w+ (?:\/orders)?\/(\w+)\/(\d+)\S* HTTP[^]*?\r\ntanagertray-call-id: (\S+)\r\n/;
 
 /** A backend server that writes its answers byte by byte. A call `/<fault>/<amount>` says what it does; it has no body. */
 export async function openRawBackend(): Promise<RawBackend> {
@@ -142,13 +152,14 @@
 
     function serve(socket: Socket, head: string, last: string): string {
         const [, fault = "", amount = "", callId = ""] = requestPattern.exec(head) ?? [];
-        const call = { callId, amount: Number(amount), last };
+        const names = namesIn(head, callId);
+        const call = { names, amount: Number(amount), last };
         const refuse = refusals[fault as RawFault];
         if (refuse !== undefined) {
             socket.write(refuse(call));
             return refuse(call);
         }
-        const run = { callId, body: `answer ${runs.length + 1} to ${callId}` };
+        const run = { callId, names, body: `answer ${runs.length + 1} to ${callId}` };
         runs.push(run);
         answers[fault as RawFault](socket, run, call);
         return wholeOf(run);
