--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -52,6 +52,7 @@
 export * from "./telemetry/event.js";
 export * from "./telemetry/span.js";
 export * from "./telemetry/stage.js";
+export * from "./calls/attribution.js";
 export * from "./calls/refusal.js";
 export * from "./calls/deadline.js";
 export * from "./calls/retry.js";
--- a/packages/daemon/features/steps/answerEnds.ts
+++ b/packages/daemon/features/steps/answerEnds.ts
@@ -1,13 +1,11 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { createCancellation } from "@tanagertray/daemon/adapters/calls/cancellation";
-import {
-    exchange,
-    type ExchangeResult,
-    type ResponseSink,
-} from "@tanagertray/daemon/adapters/calls/exchange";
+import { exchange, type ExchangeResult } from "@tanagertray/daemon/adapters/calls/exchange";
 import { createPools, type Pools } from "@tanagertray/daemon/adapters/calls/pools";
+import { ReceptionKind, type ResponseSink } from "@tanagertray/daemon/adapters/calls/reception";
 import type { Timers } from "@tanagertray/daemon/adapters/calls/timers";
 import assert from "node:assert/strict";
+import { randomUUID } from "node:crypto";
 import { createServer, type AddressInfo, type Server, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { eventually } from "./callWorld.js";
@@ -66,6 +64,8 @@
     };
     return exchange({
         connections: ends.pools.get(ends.address, 4),
+        id: randomUUID(),
+        idHeader: "tanagertray-call-id",
         method: "GET",
         path: "/",
         headers: [],
@@ -76,7 +76,7 @@
         bodySilenceMs: 5_000,
         mayWrite: () => true,
         onInformation: () => undefined,
-        onHead: () => sink,
+        onHead: () => ({ kind: ReceptionKind.Pass, sink }),
     });
 }
 
--- a/packages/daemon/src/adapters/admin/counters.ts
+++ b/packages/daemon/src/adapters/admin/counters.ts
@@ -1,8 +1,9 @@
-import { CallStage, type Event, type Span } from "@tanagertray/core";
+import { CallStage, RejectionCause, type Event, type Span } from "@tanagertray/core";
 import type Int32Histogram from "hdr-histogram-js/dist/Int32Histogram.js";
 import type { Board } from "../../board.js";
 import type { Closeable } from "../../closeable.js";
 import { eventFeeds } from "../../eventFeeds.js";
+import { answerRejectedEvent } from "../calls/rejections.js";
 import { maxCountedNames, maxCountedServices, maxEarlySpans, maxSpanMicroseconds } from "./constants.js";
 
 type Histogram = InstanceType<typeof Int32Histogram.default>;
@@ -30,6 +31,8 @@
     waits(): ReadonlyMap<string, Durations>;
     /** Lateness of the ticks of the clock. */
     loopLag(): Durations | undefined;
+    /** Responses that were not passed on, or not to their end, by cause. */
+    rejections(): ReadonlyMap<string, number>;
 }
 
 /** Joins two labels in the key of a count; neither a reason nor a name holds it. */
@@ -56,17 +59,22 @@
         counts: "unserved",
         key: `${fields["result"]}${labelSeparator}${fields["reason"] ?? "none"}`,
     }),
+    [answerRejectedEvent]: fields => ({ counts: "rejections", key: String(fields["cause"]) }),
 };
 
 interface EventKey {
-    readonly counts: "refusals" | "unserved";
+    readonly counts: "refusals" | "unserved" | "rejections";
     readonly key: string;
 }
 
 /** Follows the feeds of events and spans and the clock, and counts their entries. */
 export function createCounters(board: Board): Counters {
     const events = new Map<string, number>();
-    const byReason = { refusals: new Map<string, number>(), unserved: new Map<string, number>() };
+    const byReason = {
+        refusals: new Map<string, number>(),
+        unserved: new Map<string, number>(),
+        rejections: new Map<string, number>(Object.values(RejectionCause).map(cause => [cause, 0])),
+    };
     const spans = new Map<string, SpanStatistics>();
     const waits = new Map<string, Durations>();
     const lags = new Map<string, Durations>();
@@ -139,6 +147,7 @@
         spans: () => spans,
         waits: () => waits,
         loopLag: () => lags.get("clock"),
+        rejections: () => byReason.rejections,
         close: () => subscriptions.forEach(subscription => subscription.close()),
     };
 }
--- a/packages/daemon/src/adapters/calls/handleHop.ts
+++ b/packages/daemon/src/adapters/calls/handleHop.ts
@@ -5,10 +5,10 @@
 import { encodeCapacity } from "./capacityHeader.js";
 import { keptBodyBytes, progressMs } from "./constants.js";
 import type { CallContext } from "./context.js";
-import { UnknownCause } from "./dialect.js";
+import { UnknownCause, type OwnAnswer } from "./dialect.js";
 import { ExchangeEnd, type ExchangeResult } from "./exchange.js";
 import { responseHeaders } from "./headers.js";
-import { verifyHop } from "./hopToken.js";
+import { attemptHeader, claimedAttemptId, verifyHop } from "./hopToken.js";
 import {
     cancelIfLeft,
     checkAdmitting,
@@ -53,7 +53,8 @@
             readiness: context.board.read("readiness").state,
             version: heldVersion(context.board),
         });
-        return sendOwn(response, answerNotRun(refused), {
+        const attemptId = claimedAttemptId(String(request.headers["tanagertray-hop"]));
+        return sendOwn(response, named(answerNotRun(refused), attemptId), {
             close: refused.reason === RefusalReason.Draining,
         });
     }
@@ -97,7 +98,6 @@
         matched,
         attemptId,
         callId,
-        givenCallId: callId,
         deadline,
         startBy,
         method: call.method,
@@ -122,7 +122,7 @@
             const closing = closes ? ["connection", "close"] : [];
             response.writeHead(status, [
                 ...responseHeaders(raw, keptHeaders),
-                ...["tanagertray-load", load, ...encodeTook(stages)],
+                ...["tanagertray-load", load, attemptHeader, attemptId, ...encodeTook(stages)],
                 ...encodeCapacity(context.admissions.report(matched.service)),
                 ...closing,
             ]);
@@ -138,9 +138,9 @@
     outcome.caseOf({
         Left: refused => {
             noteRefused(context, { call, attemptId, callId }, refused, stages);
-            refuse(context, response, matched.service, refused);
+            sendOwn(response, named(refusalOf(context, matched.service, refused), attemptId));
         },
-        Right: ({ end }) => answerByEnd[end](response),
+        Right: ({ end }) => answerByEnd[end](response, attemptId),
     });
     const reason = outcome.caseOf<string>({ Left: refused => refused.reason, Right: ({ end }) => end });
     span.end(
@@ -182,20 +182,28 @@
 }
 
 /** Refuses a call with what the next choice of the entry daemon needs to know of this host. */
-function refuse(context: CallContext, response: ServerResponse, service: Service, refused: Refusal): void {
+function refusalOf(context: CallContext, service: Service, refused: Refusal): OwnAnswer {
     const answer = answerNotRun(refused);
     const [name, capacity] = encodeCapacity(context.admissions.report(service));
     const known = name === undefined || capacity === undefined ? {} : { [name]: capacity };
-    sendOwn(response, { ...answer, headers: { ...answer.headers, ...known } });
+    return { ...answer, headers: { ...answer.headers, ...known } };
+}
+
+/** Says to which attempt an answer belongs. */
+function named(answer: OwnAnswer, attemptId: string | undefined): OwnAnswer {
+    return attemptId === undefined
+        ? answer
+        : { ...answer, headers: { ...answer.headers, [attemptHeader]: attemptId } };
 }
 
 const answerByEnd = {
     [ExchangeEnd.Completed]: () => undefined,
-    [ExchangeEnd.NeverWritten]: response =>
-        sendOwn(response, answerNotRun(refusal(RefusalReason.Unreachable))),
-    [ExchangeEnd.Lost]: response => sendOwn(response, ownDialect.unknown(UnknownCause.Lost)),
+    [ExchangeEnd.NeverWritten]: (response, attemptId) =>
+        sendOwn(response, named(answerNotRun(refusal(RefusalReason.Unreachable)), attemptId)),
+    [ExchangeEnd.Lost]: (response, attemptId) =>
+        sendOwn(response, named(ownDialect.unknown(UnknownCause.Lost), attemptId)),
     [ExchangeEnd.Truncated]: resetConnection,
-} satisfies Record<ExchangeEnd, (response: ServerResponse) => void>;
+} satisfies Record<ExchangeEnd, (response: ServerResponse, attemptId: string) => void>;
 
 function verify(context: CallContext, call: IncomingCall): Either<Refusal, VerifiedHop> {
     const own = (name: string) => call.head.own.get(`tanagertray-${name}`) ?? "";
--- a/packages/daemon/src/adapters/calls/pools.ts
+++ b/packages/daemon/src/adapters/calls/pools.ts
@@ -1,14 +1,12 @@
-import type { Socket } from "node:net";
-import { buildConnector, Pool, type Dispatcher } from "undici";
-import { connectTimeoutMs, poolIdleMs, poolUnusedMs } from "./constants.js";
+import { Pool, type Dispatcher } from "undici";
+import { createTracedClient } from "./connections.js";
+import { poolUnusedMs } from "./constants.js";
 
 /** Connections to one address. They stay with an exchange that began on them, also when new calls get others. */
 export interface Connections {
     readonly dispatcher: Dispatcher;
-    /** Resumes the exchanges that wait for a slow reader. */
-    readonly paused: Set<() => void>;
-    /** True while the end of a connection is reported that was reset. */
-    isCut: boolean;
+    /** A new connection for one exchange, apart from the others. The caller closes it. */
+    openSingle(): Dispatcher;
 }
 
 interface PoolEntry extends Connections {
@@ -77,52 +75,11 @@
 }
 
 function openEntry(address: string, connections: number): PoolEntry {
-    const connect = buildConnector({ timeout: connectTimeoutMs });
-    const dispatcher = new Pool(`http://${address}`, {
-        connections,
-        pipelining: 1,
-        keepAliveTimeout: poolIdleMs,
-        keepAliveMaxTimeout: poolIdleMs,
-        connect(options, callback) {
-            connect(options, (...result) => {
-                // A connection that could not be opened comes without a socket.
-                if (result[1]) {
-                    guardEnd(result[1], entry);
-                }
-                callback(...result);
-            });
-        },
-    });
-    const entry: PoolEntry = {
-        dispatcher,
-        paused: new Set(),
-        isCut: false,
+    const origin = `http://${address}`;
+    return {
+        dispatcher: new Pool(origin, { connections, factory: createTracedClient }),
+        openSingle: () => createTracedClient(origin),
         usedAt: 0,
         heardAt: -Infinity,
     };
-    return entry;
 }
-
-/**
- * Corrects what the client library makes of the end of a connection. It takes a reset for the end of a response
- * without a length, and it throws where the connection ends while its parser is paused.
- */
-function guardEnd(socket: Socket, connections: Connections): void {
-    socket.prependListener("error", (error: NodeJS.ErrnoException) => {
-        if (error.code === "ECONNRESET") {
-            error.code = resetCode;
-        }
-    });
-    socket.prependListener("end", () => {
-        [...connections.paused].forEach(resume => resume());
-        // The event loop reports a reset that comes together with data as an end. Only a connection that was not reset
-        // still has a peer; the name is not asked for before, because the socket keeps it.
-        if (socket.remoteAddress === undefined) {
-            connections.isCut = true;
-            queueMicrotask(() => (connections.isCut = false));
-        }
-    });
-}
-
-/** Code of a reset connection that the client library does not know, so that the exchange fails as with other errors. */
-const resetCode = "TANAGERTRAY_RESET";
--- a/packages/daemon/src/adapters/log.ts
+++ b/packages/daemon/src/adapters/log.ts
@@ -15,6 +15,7 @@
     "call.backendRefused",
     "call.serverError",
     "call.hopRefused",
+    "call.answerRejected",
 ]);
 const levels: Readonly<Record<string, number>> = { error: 0, warn: 1, info: 2, debug: 3 };
 /** Period of the limit of lines, in milliseconds. */
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -10,3 +10,4 @@
 export * from "./site/siteServer.js";
 export * from "./site/operatorRow.js";
 export * from "./site/siteDaemon.js";
+export * from "./site/siteRun.js";
--- a/packages/standin/src/siteServerMain.ts
+++ b/packages/standin/src/siteServerMain.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 import { parseArgs } from "node:util";
-import { startSiteServer, type AnswerMode } from "./site/siteServer.js";
+import type { AnswerMode } from "./site/siteRun.js";
+import { startSiteServer } from "./site/siteServer.js";
 
 /** What the parent process asks of this one over the channel between them. */
 export interface SiteServerCommand {
