feat(telemetry): a call that cannot be written to its target leaves the error

Cause: an exchange that failed before anything was written gave 'unreachable' and dropped its error. When every exchange of the bundled daemon threw, no line of any daemon said why.

Change: call.unreachable names the call, the backend server, its address and the error.

--- a/packages/daemon/features/callTelemetry.feature
+++ b/packages/daemon/features/callTelemetry.feature
@@ -20,6 +20,12 @@
         When a backend server answers 503 with its own refusal
         Then "call.serverError" of host 1 names the call, its trace, its target and the status 503
 
+    # Guards against calls that are refused as unreachable while nothing says why.
+    Scenario: A call that cannot be written to its backend server leaves the error
+        Given a call deployment of 1 hosts
+        When the backend server of host 0 is gone and a call comes to it
+        Then "call.unreachable" of host 0 names the call, the address and the error "ECONNREFUSED"
+
     # Guards against refusals of the second daemon that only the entry daemon knows of.
     Scenario: A hop that gets no backend server says what was known of the queue
         Given a call deployment of 2 hosts where the entry host has no backend server
--- a/packages/daemon/features/steps/callTelemetry.ts
+++ b/packages/daemon/features/steps/callTelemetry.ts
@@ -1,12 +1,14 @@
 import { Then, When } from "@cucumber/cucumber";
 import type { Event, Span } from "@tanagertray/core";
 import assert from "node:assert/strict";
+import { once } from "node:events";
+import { createServer, type AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { send, waitFor, type World as AdminWorld } from "./adminWorld.js";
 import { call } from "./callClient.js";
 import { entryOf, eventually, hostOf, settleMs, type World as CallWorld } from "./callWorld.js";
 
-type World = CallWorld & { hopSpan: Span };
+type World = CallWorld & { hopSpan: Span; goneAddress: string };
 
 When("a call that its backend server answers after 600 ms is made", async function (this: World) {
     // The first call opens the connections and compiles the code.
@@ -71,6 +73,30 @@
     },
 );
 
+When(
+    "the backend server of host {int} is gone and a call comes to it",
+    async function (this: World, host: number) {
+        const gone = createServer().listen(0, "127.0.0.1");
+        await once(gone, "listening");
+        const { port } = gone.address() as AddressInfo;
+        gone.close();
+        await once(gone, "close");
+        this.goneAddress = `127.0.0.1:${port}`;
+        hostOf(this, host).setServer({ address: this.goneAddress });
+        this.received = await call(hostOf(this, host), { path: "/x" });
+    },
+);
+
+Then(
+    "{string} of host {int} names the call, the address and the error {string}",
+    async function (this: World, name: string, host: number, error: string) {
+        const fields = await eventOf(this, name, host);
+        assert.equal(fields["callId"], this.received.callId);
+        assert.equal(fields["address"], this.goneAddress);
+        assert.match(String(fields["error"]), new RegExp(error));
+    },
+);
+
 When(
     "the backend server of host {int} drains and a call comes to host {int}",
     async function (this: World, drained: number, entry: number) {
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -8,6 +8,7 @@
 import { headerValue } from "./headers.js";
 import { deadlinePassed } from "./incoming.js";
 import type { StageTimes } from "./stageTimes.js";
+import { noteUnreachable } from "./unreachable.js";
 import { ReceptionKind, type Reception, type Rejection, type ResponseSink } from "./reception.js";
 import { noteRejection, type RejectionSource } from "./rejections.js";
 import type { BodyAttempt } from "./requestBody.js";
@@ -116,6 +117,9 @@
     const neverConnected =
         result.end === ExchangeEnd.NeverWritten && refused.reason === RefusalReason.Unreachable;
     slot.release({ reachable: call.control.cancelled || !neverConnected });
+    if (neverConnected) {
+        noteUnreachable(context, { callId: call.callId, target: slot.server.id, address }, result);
+    }
     if (result.end === ExchangeEnd.NeverWritten) {
         return Left(call.control.cancelled ? refusal(RefusalReason.DeadlinePassed) : refused);
     }
--- a/packages/daemon/src/adapters/log.ts
+++ b/packages/daemon/src/adapters/log.ts
@@ -14,6 +14,7 @@
     "call.attemptFailed",
     "call.backendRefused",
     "call.serverError",
+    "call.unreachable",
     "call.hopRefused",
     "call.answerRejected",
 ]);
