fix(calls): a head that holds that of another response is not passed on

Cause: a server that stops within a head and then writes its answer leaves one head whose status and first headers are those of the first response, and whose id is that of the second. The id was right, so a copy of an earlier refusal that stops in its status line or in a header made the answer behind it a refusal, and a 200 that stops made a failure a success. A head that stops in front of a refusal without an id took over its word "not run" in the same way.

Change: a reason phrase or header value with a status line in it ends the exchange; the cause is "merged".

Conclusion: the id alone does not say that all of a head belongs to one response.

--- a/packages/core/src/calls/attribution.ts
+++ b/packages/core/src/calls/attribution.ts
@@ -41,12 +41,32 @@
     return exchangesBefore === 0 ? Attribution.Only : Attribution.Unnamed;
 }
 
+/** A status line of HTTP/1.x: version, space, status (RFC 9112, section 4). */
+const statusLinePattern = /HTTP\/\d\.\d \d{3}/;
+
+/**
+ * Whether the head of a response holds that of another one. A server that stops within a head and then writes another
+ * response leaves the second status line in the text where it stopped. The status and the first headers are then those
+ * of one response, and the id may be that of the other.
+ *
+ * @param texts - reason phrase and header values
+ * @example
+ * ```ts
+ * holdsOtherHead(["Misdir" + "HTTP/1.1 200 OK"]); // true
+ * ```
+ */
+export function holdsOtherHead(texts: readonly string[]): boolean {
+    return texts.some(text => statusLinePattern.test(text));
+}
+
 /** Why a response was not passed on, or not to its end. */
 export const RejectionCause = {
     /** It names another exchange. */
     OtherExchange: "otherExchange",
     /** It names no exchange, on a connection that carried others before. */
     Unnamed: "unnamed",
+    /** Its head holds that of another response. */
+    Merged: "merged",
     /** The dialect does not take its head for that of a whole response. */
     NotWhole: "notWhole",
     /** Its transfer coding is not one that is passed on. */
--- a/packages/daemon/features/answers.feature
+++ b/packages/daemon/features/answers.feature
@@ -42,6 +42,24 @@
             | one hop from | whole   | unnamed        | unknown | unnamed       |
             | beside       | whole   | refusedUnnamed | unknown | unnamed       |
 
+    # Guards against a head that stops and is completed by that of another response: its status, or its "not run", is then
+    # believed for the call that the rest names.
+    @own-answer @not-run-is-true
+    Scenario Outline: Two heads in one are no answer
+        Given a backend server with faults <where> its callers
+        When a call meets whole, and <second> after it
+        Then the second call ends as "unknown"
+        And a rejected answer is noted with "merged" after 1 exchange
+
+        Examples:
+            | where        | second        |
+            | beside       | refusalStops  |
+            | one hop from | refusalStops  |
+            | beside       | statusStops   |
+            | one hop from | statusStops   |
+            | beside       | headAgain     |
+            | beside       | refusalBehind |
+
     # Guards against the response to an earlier hop that is taken for that of the next one.
     @own-answer
     Scenario Outline: A response of another daemon that does not name the hop is not passed on
--- a/packages/daemon/features/steps/rawBackend.ts
+++ b/packages/daemon/features/steps/rawBackend.ts
@@ -22,6 +22,14 @@
     Repeated: "repeated",
     /** A head that stops in a header, with the last answer on the connection behind it. */
     Merged: "merged",
+    /** A refusal that stops in a header, with its own whole answer behind it. */
+    RefusalStops: "refusalStops",
+    /** An answer that stops in its status line, with its own failure behind it. */
+    StatusStops: "statusStops",
+    /** Its own head twice, the first of which stops in a header. */
+    HeadAgain: "headAgain",
+    /** Its own head, which stops in a header, with a refusal without an id behind it. */
+    RefusalBehind: "refusalBehind",
     /** Says that it did not run the call. */
     Refused: "refused",
     RefusedUnnamed: "refusedUnnamed",
@@ -126,6 +134,18 @@
         const rest = last === "" ? wholeOf({ callId: "none", names: noNames, body }) : last;
         socket.write(`HTTP/1.1 200 OK\r\n${names}\r\nx-note: ${rest}`);
     },
+    [RawFault.RefusalStops]: (socket, run) => {
+        socket.write(`HTTP/1.1 503 Busy\r\n${outcome}\r\nx-note: sto${wholeOf(run)}`);
+    },
+    [RawFault.StatusStops]: (socket, { names, body }) => {
+        socket.write(`HTTP/1.1 200 O${textOf("500 Failed", [names, `content-length: ${body.length}`], body)}`);
+    },
+    [RawFault.HeadAgain]: (socket, run) => {
+        socket.write(`HTTP/1.1 200 OK\r\n${run.names}\r\nx-note: sto${wholeOf(run)}`);
+    },
+    [RawFault.RefusalBehind]: (socket, { names }) => {
+        socket.write(`HTTP/1.1 200 OK\r\n${names}\r\nx-note: sto${refusalOf([])}`);
+    },
     [RawFault.Garbage]: socket => void socket.write("hello\r\n\r\n"),
 } satisfies Record<RawFault, Answer>;
 
--- a/packages/daemon/src/adapters/calls/exchange.ts
+++ b/packages/daemon/src/adapters/calls/exchange.ts
@@ -5,6 +5,7 @@
 import { maxBytesWithoutBody, maxRefusalBytes, maxResponseBytes, refusalRestMs } from "./constants.js";
 import { headerValues } from "./headers.js";
 import type { Connections } from "./pools.js";
+import { causeInHead, type ReceivedHead } from "./receivedHead.js";
 import { ReceptionKind, type Reception, type Rejection, type ResponseSink } from "./reception.js";
 import type { Timer, Timers } from "./timers.js";
 
@@ -191,10 +192,10 @@
     const { options } = progress;
     return {
         onRequestStart: controller => begin(progress, controller),
-        onResponseStart(controller, status) {
+        onResponseStart(controller, status, _headers, reasonPhrase = "") {
             if (!progress.settled && progress.started !== undefined) {
                 const raw = (controller.rawHeaders ?? []) as (Buffer | string)[];
-                takeHead(progress, progress.started, status, raw);
+                takeHead(progress, progress.started, { status, reasonPhrase, raw });
             }
         },
         onResponseData(_controller, chunk) {
@@ -280,8 +281,7 @@
 function takeHead(
     progress: Progress,
     started: Started,
-    status: number,
-    rawHeaders: readonly (Buffer | string)[],
+    { status, reasonPhrase, raw: received }: ReceivedHead,
 ): void {
     const { options } = progress;
     if (status < 200) {
@@ -289,12 +289,12 @@
         watch(progress, options.headSilenceMs);
         return;
     }
-    const raw = rawHeaders.map(part => (typeof part === "string" ? part : part.toString("latin1")));
+    const raw = received.map(part => (typeof part === "string" ? part : part.toString("latin1")));
     progress.head = { status, raw };
     const { exchangesBefore } = started;
     const echoed = headerValues(raw, options.idHeader);
     const attribution = attribute({ sent: options.id, echoed, exchangesBefore });
-    const cause = causes[attribution] ?? (isPassableCoding(raw) ? undefined : RejectionCause.Coding);
+    const cause = causes[attribution] ?? causeInHead(reasonPhrase, raw);
     if (cause !== undefined) {
         fail(progress, rejected, cause);
         return;
@@ -305,11 +305,6 @@
     receive[reception.kind](progress, reception as never);
 }
 
-/** Without a coding, the length or the end of the connection ends the body; the reset of a connection does not. */
-function isPassableCoding(raw: readonly string[]): boolean {
-    return headerValues(raw, "transfer-encoding").every(coding => coding.toLowerCase() === "chunked");
-}
-
 const receive = {
     [ReceptionKind.Pass](progress, { sink }) {
         progress.sink = sink;
--- /dev/null
+++ b/packages/daemon/src/adapters/calls/receivedHead.ts
@@ -0,0 +1,23 @@
+import { holdsOtherHead, RejectionCause } from "@tanagertray/core";
+import { headerValues } from "./headers.js";
+
+/** A response head as it was received. */
+export interface ReceivedHead {
+    readonly status: number;
+    readonly reasonPhrase: string;
+    /** Names and values, alternating. */
+    readonly raw: readonly (Buffer | string)[];
+}
+
+/** Why a head that names its exchange is not passed on; `undefined` when it is. */
+export function causeInHead(reasonPhrase: string, raw: readonly string[]): RejectionCause | undefined {
+    if (holdsOtherHead([reasonPhrase, ...raw])) {
+        return RejectionCause.Merged;
+    }
+    return isPassableCoding(raw) ? undefined : RejectionCause.Coding;
+}
+
+/** Without a coding, the length or the end of the connection ends the body; the reset of a connection does not. */
+function isPassableCoding(raw: readonly string[]): boolean {
+    return headerValues(raw, "transfer-encoding").every(coding => coding.toLowerCase() === "chunked");
+}
--- a/packages/standin/src/site/siteAnswers.ts
+++ b/packages/standin/src/site/siteAnswers.ts
@@ -118,6 +118,15 @@
         const start = `${statusLine}${headLines(run, state).join("\r\n")}\r\nx-note: `;
         response.socket?.write(`${start}${wholeText({ ...run, id: "of-another-call" }, state)}`);
     },
+    [AnswerMode.RefusalStops]: ({ socket }, run, state) => {
+        socket?.write(`HTTP/1.1 421 Misdir${wholeText(run, state)}`);
+    },
+    [AnswerMode.RefusalStopsLater]: ({ socket }, run, state) => {
+        socket?.write(`HTTP/1.1 503 Busy\r\nx-not-executed: 1${wholeText(run, state)}`);
+    },
+    [AnswerMode.StatusStops]: ({ socket }, run, state) => {
+        socket?.write(`HTTP/1.1 200 O${wholeText(run, state).replace("200 OK", "500 Failed")}`);
+    },
     [AnswerMode.HeadCut]: ({ socket }, run, state) => void socket?.end(halfHead(run, state)),
     [AnswerMode.HeadReset]: ({ socket }, run, state) => {
         socket?.write(halfHead(run, state));
--- a/packages/standin/src/site/siteRun.ts
+++ b/packages/standin/src/site/siteRun.ts
@@ -36,6 +36,12 @@
     CodedReset: "codedReset",
     /** Whole, behind a head that stops and starts again. */
     HeadTwice: "headTwice",
+    /** Whole, behind a refusal that stops in its status line. */
+    RefusalStops: "refusalStops",
+    /** Whole, behind a refusal that stops in a header. */
+    RefusalStopsLater: "refusalStopsLater",
+    /** A failure, behind an answer that stops in its status line. */
+    StatusStops: "statusStops",
     /** Half of the head, then the end of the connection. */
     HeadCut: "headCut",
     /** Half of the head, then a reset. */
