fix(calls): bytes that cannot be read are not answered in the place of a call in progress

Cause: the HTTP library answers a malformed, oversized or late request by itself, also while the request before it on the connection has no answer yet. The caller takes that answer for the one to its call. A 408 tells it that the call did not run and never will.

Change: such a connection is reset while an answer, or the rest of a request, is due. Otherwise the statuses stay.

Conclusion: whatever the listener says by itself is said only when no call can be meant.

--- a/packages/daemon/features/calls.feature
+++ b/packages/daemon/features/calls.feature
@@ -212,6 +212,24 @@
             | malformed call id        |
             | malformed deadline       |
 
+    # Guards against an answer to bytes that cannot be read which the caller takes for that of its call.
+    @own-answer @not-run-is-true
+    Scenario Outline: Bytes that cannot be read are not answered in the place of a call in progress
+        Given a call deployment of 2 hosts where the entry host has no backend server
+        When a call in progress is followed by <bytes>
+        Then the call was run once, and its connection ends without an answer
+
+        Examples:
+            | bytes             |
+            | garbage           |
+            | an oversized head |
+            | a broken chunk    |
+
+    Scenario: Bytes that cannot be read on a connection at rest are refused
+        Given a call deployment of 1 hosts
+        When a call that was answered is followed by garbage
+        Then the call got its answer, and the garbage 400
+
     Scenario: Headers for one connection and headers of the daemons are not passed on
         Given a call deployment of 2 hosts where the entry host has no backend server
         When a call carries hop-by-hop headers, nominated headers and forged daemon headers
--- a/packages/daemon/features/steps/rawBackend.ts
+++ b/packages/daemon/features/steps/rawBackend.ts
@@ -138,7 +138,9 @@
         socket.write(`HTTP/1.1 503 Busy\r\n${outcome}\r\nx-note: sto${wholeOf(run)}`);
     },
     [RawFault.StatusStops]: (socket, { names, body }) => {
-        socket.write(`HTTP/1.1 200 O${textOf("500 Failed", [names, `content-length: ${body.length}`], body)}`);
+        socket.write(
+            `HTTP/1.1 200 O${textOf("500 Failed", [names, `content-length: ${body.length}`], body)}`,
+        );
     },
     [RawFault.HeadAgain]: (socket, run) => {
         socket.write(`HTTP/1.1 200 OK\r\n${run.names}\r\nx-note: sto${wholeOf(run)}`);
--- a/packages/daemon/src/adapters/httpListener.ts
+++ b/packages/daemon/src/adapters/httpListener.ts
@@ -2,6 +2,7 @@
 import { createServer, type RequestListener, type Server } from "node:http";
 import { Server as NetServer } from "node:net";
 import type { Endpoint } from "../settings/settings.js";
+import { refuseUnreadable } from "./unreadableRequests.js";
 
 /** Largest size of all request headers together, in bytes. */
 const maxHeaderBytes = 16_384;
@@ -28,6 +29,7 @@
         },
         handler,
     );
+    refuseUnreadable(server);
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
         server.listen(endpoint.port, endpoint.address, resolve);
