--- a/packages/daemon/features/backendServers.feature
+++ b/packages/daemon/features/backendServers.feature
@@ -51,6 +51,8 @@
         When backend server "s1" is drained by command
         Then no backend servers are known at 35001 ms
         When backend server "s1" announces itself with counter 1 as "serving"
+        Then backend server "s1" is "serving"
+
     # Guards against a daemon that just restarted and forgets that it acknowledged the leaving of a backend server.
     @leaving-gets-no-work @herd-death
     Scenario: A drain of a backend server that is not known yet holds for its late announcement
