fix(backend-servers): a leaving holds although its announcement names no server to use

Cause: an announcement that says "draining" is acknowledged by the listener and then dropped when a later backend server has its address, or when as many servers are known as a host may have. The leaving was forgotten with it, so that a delayed announcement made the server serve again once the others were gone.

Change: the departure is noted before these checks, unless the announcement is older than what is known or the departure is known already.

--- a/packages/daemon/features/backendServers.feature
+++ b/packages/daemon/features/backendServers.feature
@@ -72,6 +72,20 @@
         When backend server "s1" starts anew
         Then backend server "s1" is "serving"
 
+    # Guards against a leaving that was acknowledged and forgotten, because its announcement names no server to use.
+    @leaving-gets-no-work
+    Scenario Outline: The leaving of a backend server holds although <why>
+        When <why>
+        And backend server "s1" announces itself with counter 3 as "draining"
+        Then no backend servers are known at 3101 ms
+        When backend server "s1" announces itself with counter 2 as "serving"
+        Then backend server "s1" is "draining"
+
+        Examples:
+            | why                                          |
+            | a later backend server has its address       |
+            | as many others are known as a host may have  |
+
     Scenario: Malformed announcements and commands for unknown backend servers are reported and ignored
         When malformed backend server announcements arrive
         And backend server "s9" is drained by command
--- a/packages/daemon/features/steps/backendServers.ts
+++ b/packages/daemon/features/steps/backendServers.ts
@@ -1,5 +1,12 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
-import type { Announcement, DrainCommand, Event, FeedWriter, ValueWriter } from "@tanagertray/core";
+import {
+    maxBackendServers,
+    type Announcement,
+    type DrainCommand,
+    type Event,
+    type FeedWriter,
+    type ValueWriter,
+} from "@tanagertray/core";
 import { createBoard, type Board, type ClockState } from "@tanagertray/daemon/board";
 import { createBackendServers } from "@tanagertray/daemon/controllers/backendServers";
 import { resolveSettings } from "@tanagertray/daemon/settings/resolveSettings";
@@ -81,6 +88,16 @@
     await append(this, announcementOf("s1", { address: "elsewhere" }));
 });
 
+When("a later backend server has its address", async function (this: World) {
+    await append(this, announcementOf("s2", { incarnation: 2 }));
+});
+
+When("as many others are known as a host may have", async function (this: World) {
+    for (let i = 0; i < maxBackendServers; i += 1) {
+        await append(this, announcementOf(`other${i}`, { address: `127.0.0.1:${1_000 + i}` }));
+    }
+});
+
 When("{int} backend servers announce themselves", async function (this: World, count: number) {
     for (let i = 0; i < count; i += 1) {
         await append(this, announcementOf(`s${i}`));
--- a/packages/daemon/src/controllers/backendServers.ts
+++ b/packages/daemon/src/controllers/backendServers.ts
@@ -36,6 +36,7 @@
     function takeAnnouncement(announcement: Announcement): void {
         const current = board.read("backendServers");
         const known = current.get(announcement.id);
+        noteLeaving(announcement, known);
         if (known === undefined && current.size >= maxBackendServers) {
             return warn("backendServer.tooMany", { id: announcement.id, limit: maxBackendServers });
         }
@@ -75,6 +76,15 @@
         reportChange(server, known);
     }
 
+    /** A leaving is acknowledged, so it holds also when its announcement names no server to use. */
+    function noteLeaving(announcement: Announcement, known: BackendServer | undefined): void {
+        const { id, incarnation, state } = announcement;
+        const isOld = known !== undefined && !isNewerAnnouncement(announcement, known);
+        if (state === BackendServerState.Draining && !isOld && !isLeaving(departures.get(id), announcement)) {
+            noteDeparture(id, { since: board.read("clock").now, incarnation });
+        }
+    }
+
     function noteDeparture(id: string, departure: Departure): void {
         if (departures.size >= maxDepartures && !departures.has(id)) {
             const [oldest] = departures.keys();
