fix(backend-servers): a leaving that was acknowledged outlives a restart of the daemon

Cause: departures were kept by the process alone. The class of fault: a promise given to the outside that only the giver remembers.

Change: departures are part of the host record.

--- a/packages/core/src/membership/publication.ts
+++ b/packages/core/src/membership/publication.ts
@@ -2,7 +2,7 @@
 import type { HostRecord } from "./record.js";
 
 /** What a host publishes of itself, apart from its identity. */
-export type Advertisement = Pick<HostRecord, "state" | "offers" | "version" | "rejected">;
+export type Advertisement = Pick<HostRecord, "state" | "offers" | "departures" | "version" | "rejected">;
 
 export interface PublicationState {
     readonly self: HostRecord;
@@ -23,15 +23,15 @@
 }
 
 /**
- * Whether the host publishes its record now. Offers, state and rejections go out at once; a mere change of the
+ * Whether the host publishes its record now. Offers, departures, state and rejections go out at once; a mere change of the
  * held version waits, so that the whole deployment writes a bounded number of such records per second.
  */
 export function isPublicationDue(state: PublicationState): boolean {
     const { self, advertisement, now } = state;
     const urgent =
         advertisement.state !== self.state ||
-        JSON.stringify([advertisement.offers, advertisement.rejected]) !==
-            JSON.stringify([self.offers, self.rejected]);
+        JSON.stringify([advertisement.offers, advertisement.departures, advertisement.rejected]) !==
+            JSON.stringify([self.offers, self.departures, self.rejected]);
     const lagging =
         state.laggingSince !== undefined &&
         !state.lagPublished &&
--- a/packages/core/src/membership/record.ts
+++ b/packages/core/src/membership/record.ts
@@ -25,6 +25,13 @@
     readonly startedAt: number;
 }
 
+/** A backend server that was told, or said, to leave. */
+export interface HostDeparture {
+    readonly id: string;
+    /** The latest of its starts that is leaving. */
+    readonly incarnation: number;
+}
+
 /**
  * The record of one host. The host alone raises the incarnation and the counter; a neighbour may only
  * repeat them with a worse state. So late or crossed news loses against newer news.
@@ -40,6 +47,8 @@
     readonly offers: readonly ServiceOffer[];
     /** Configuration version held when the record was written. */
     readonly version: number;
+    /** Backend servers that are leaving the host, or left it lately. Peers return them when the host restarts. */
+    readonly departures?: readonly HostDeparture[];
     /** Version that the host refused whole, with the reason. */
     readonly rejected?: { readonly version: number; readonly reason: string };
 }
--- a/packages/core/src/messages/peerMessage.ts
+++ b/packages/core/src/messages/peerMessage.ts
@@ -1,6 +1,6 @@
 import type { Manifest, ManifestEntry } from "../configuration/manifest.js";
 import type { ResourceName } from "../configuration/resource.js";
-import type { HostRecord } from "../membership/record.js";
+import type { HostDeparture, HostRecord } from "../membership/record.js";
 
 /** Messages between daemons. Encoding is the business of the peer adapter alone. */
 
@@ -115,6 +115,8 @@
     readonly host: string;
     readonly version: number;
     readonly incarnation: number;
+    /** Backend servers that left the host lately. */
+    readonly departures?: readonly HostDeparture[];
     readonly held: number;
 }
 
--- a/packages/daemon/src/adapters/peers/decoders.ts
+++ b/packages/daemon/src/adapters/peers/decoders.ts
@@ -2,9 +2,11 @@
     CallFate,
     digestBuckets,
     HostState,
+    maxDepartures,
     MessageKind,
     problem,
     ProblemCode,
+    type HostDeparture,
     type HostRecord,
     type Manifest,
     type ManifestDelta,
@@ -37,6 +39,8 @@
 
 const offer = shape<ServiceOffer>({ service: name, slots: integer(), startedAt: integer() });
 
+const departures = optional(listOf(shape<HostDeparture>({ id: name, incarnation }), maxDepartures));
+
 const hostRecord = shape<HostRecord>({
     host: name,
     failureDomain: name,
@@ -46,6 +50,7 @@
     state: oneOf(Object.values(HostState)),
     peerAddress: name,
     offers: listOf(offer, maxOffers),
+    departures,
     version: integer(),
     rejected: optional(
         shape<NonNullable<HostRecord["rejected"]>>({ version: integer(), reason: text(maxReasonLength) }),
@@ -92,6 +97,7 @@
         host: name,
         version: integer(),
         incarnation,
+        departures,
         held: integer(),
     }),
     [MessageKind.FateRequest]: messageOf(MessageKind.FateRequest, { callId: name }),
--- a/packages/daemon/src/board.ts
+++ b/packages/daemon/src/board.ts
@@ -12,7 +12,9 @@
     type Feed,
     type Head,
     type HostObservation,
+    type Departure,
     type HostRecord,
+    type RememberedDepartures,
     type IncomingMessage,
     type OutgoingMessage,
     type PlatformCommand,
@@ -128,6 +130,8 @@
     shutdown: Value<ShutdownState>;
     announcements: Feed<Announcement | DrainCommand>;
     backendServers: Value<ReadonlyMap<string, BackendServer>>;
+    departures: Value<ReadonlyMap<string, Departure>>;
+    rememberedDepartures: Value<ReadonlyMap<string, RememberedDepartures>>;
     /** Hosts that offer each service, by tier. */
     targets: Value<ReadonlyMap<string, ServiceTargets>>;
     /** What the calls showed of each host, by service and host. */
@@ -185,6 +189,8 @@
             readiness: { state: ReadinessState.Joining, reason: "starting", floor: 0, since: now },
             shutdown: { requested: false, lingersUntil: 0 },
             backendServers: new Map(),
+            departures: new Map(),
+            rememberedDepartures: new Map(),
             targets: new Map(),
             hostObservations: new Map(),
             admissionState: new Map(),
--- a/packages/daemon/src/controllers/advertisement.ts
+++ b/packages/daemon/src/controllers/advertisement.ts
@@ -1,6 +1,7 @@
 import {
     computeOffers,
     HostState,
+    publishedDepartures,
     ResourceKind,
     resourceName,
     type Advertisement,
@@ -13,10 +14,12 @@
 export function createAdvertisement(board: Board): Advertisement {
     const { rejected } = board.read("configuration");
     const leaving = board.read("shutdown").requested;
+    const departures = publishedDepartures(board.read("departures"));
     return {
         state: leaving ? HostState.Left : HostState.Alive,
         offers: leaving ? [] : ownOffers(board),
         version: heldVersion(board),
+        ...(departures.length === 0 ? {} : { departures }),
         ...(rejected === undefined ? {} : { rejected }),
     };
 }
--- a/packages/daemon/src/controllers/backendServers.ts
+++ b/packages/daemon/src/controllers/backendServers.ts
@@ -6,6 +6,7 @@
     isNewerAnnouncement,
     maxBackendServers,
     maxDepartures,
+    MessageKind,
     readAnnouncement,
     recentDepartures,
     type Announcement,
@@ -13,6 +14,8 @@
     type Departure,
     type DrainCommand,
     type Event,
+    type HostDeparture,
+    type IncomingMessage,
 } from "@tanagertray/core";
 import type { Board } from "../board.js";
 import type { Closeable } from "../closeable.js";
@@ -21,7 +24,8 @@
 export function createBackendServers(board: Board): Closeable {
     const servers = board.claimValue("backendServers");
     const events = board.claimFeed("backendServerEvents");
-    let departures: ReadonlyMap<string, Departure> = new Map();
+    const departures = board.claimValue("departures");
+    const self = board.read("settings").host;
 
     function take(entry: Announcement | DrainCommand): void {
         if (typeof entry === "object" && entry !== null && "kind" in entry) {
@@ -49,7 +53,7 @@
         if (rivals.some(({ incarnation }) => incarnation > announcement.incarnation)) {
             return warn("backendServer.late", { id: announcement.id, address: announcement.address });
         }
-        const departure = departures.get(announcement.id);
+        const departure = board.read("departures").get(announcement.id);
         const left = isLeaving(departure, announcement) ? departure : undefined;
         const server = merge(announcement, { known, left, now: board.read("clock").now });
         if (server.drainingSince !== undefined) {
@@ -80,24 +84,61 @@
     function noteLeaving(announcement: Announcement, known: BackendServer | undefined): void {
         const { id, incarnation, state } = announcement;
         const isOld = known !== undefined && !isNewerAnnouncement(announcement, known);
-        if (state === BackendServerState.Draining && !isOld && !isLeaving(departures.get(id), announcement)) {
+        if (
+            state === BackendServerState.Draining &&
+            !isOld &&
+            !isLeaving(board.read("departures").get(id), announcement)
+        ) {
             noteDeparture(id, { since: board.read("clock").now, incarnation });
         }
     }
 
     function noteDeparture(id: string, departure: Departure): void {
-        if (departures.size >= maxDepartures && !departures.has(id)) {
-            const [oldest] = departures.keys();
-            departures = new Map([...departures].filter(([other]) => other !== oldest));
+        const known = board.read("departures");
+        const [oldest] = known.keys();
+        const kept = new Map(known);
+        if (oldest !== undefined && known.size >= maxDepartures && !known.has(id)) {
+            kept.delete(oldest);
             warn("backendServer.departureForgotten", { id: oldest, limit: maxDepartures });
         }
-        departures = new Map(departures).set(id, departure);
+        departures.write(kept.set(id, departure));
+    }
+
+    /** Takes a departure back that this host acknowledged before it was started again. */
+    function restore({ id, incarnation }: HostDeparture): void {
+        const { now } = board.read("clock");
+        const noted = board.read("departures").get(id);
+        if (noted !== undefined && incarnation <= (noted.incarnation ?? noted.since)) {
+            return;
+        }
+        noteDeparture(id, { since: now, incarnation });
+        events.append({
+            name: "backendServer.departureRestored",
+            level: EventLevel.Info,
+            fields: { id, incarnation },
+        });
+        const known = board.read("backendServers").get(id);
+        if (known !== undefined && known.drainingSince === undefined && known.incarnation <= incarnation) {
+            const server = { ...known, state: BackendServerState.Draining, drainingSince: now };
+            servers.update(current => new Map(current).set(id, server));
+            reportChange(server, known);
+        }
+    }
+
+    function takeMessage({ message }: IncomingMessage): void {
+        if (message.kind === MessageKind.Watermark && message.host === self) {
+            message.departures?.forEach(restore);
+        }
     }
 
     function dropSilent(): void {
         const { now } = board.read("clock");
         const current = board.read("backendServers");
-        departures = recentDepartures(departures, current, now);
+        const noted = board.read("departures");
+        const recent = recentDepartures(noted, current, now);
+        if (recent !== noted) {
+            departures.write(recent);
+        }
         const alive = [...current].filter(([, server]) => hasLease(server, now));
         if (alive.length < current.size) {
             servers.write(new Map(alive));
@@ -119,7 +160,11 @@
         events.append({ name, level: EventLevel.Warn, fields });
     }
 
-    const subscriptions = [board.follow("announcements", take), board.observe(["clock"], dropSilent)];
+    const subscriptions = [
+        board.follow("announcements", take),
+        board.follow("peerInbox", takeMessage),
+        board.observe(["clock"], dropSilent),
+    ];
     return { close: () => subscriptions.forEach(subscription => subscription.close()) };
 }
 
--- a/packages/daemon/src/controllers/membership.ts
+++ b/packages/daemon/src/controllers/membership.ts
@@ -20,6 +20,7 @@
 import type { Board } from "../board.js";
 import type { Closeable } from "../closeable.js";
 import { heldVersion } from "./advertisement.js";
+import { rememberedOf } from "./departureMemory.js";
 import {
     allRecords,
     antiEntropyMs,
@@ -119,6 +120,7 @@
         host,
         version: watermarkOf(context, host),
         incarnation: context.table.records.get(host)?.incarnation ?? 0,
+        ...rememberedOf(context.board, host),
         held: heldVersion(context.board),
     };
     send(context, { to: { host: from }, message });
--- a/packages/daemon/src/controllers/readiness.ts
+++ b/packages/daemon/src/controllers/readiness.ts
@@ -15,6 +15,7 @@
 import type { Board } from "../board.js";
 import type { Closeable } from "../closeable.js";
 import { heldVersion } from "./advertisement.js";
+import { rememberedOf } from "./departureMemory.js";
 
 type MessageOf<K> = Extract<PeerMessage, { kind: K }>;
 type Handler<M> = (from: string, message: M, receivedAt: number) => void;
@@ -51,6 +52,7 @@
             host,
             version: watermarks.get(host) ?? 0,
             incarnation: records.get(host)?.incarnation ?? 0,
+            ...rememberedOf(board, host),
             held: heldVersion(board),
         };
         outbox.append({ to: { host: from }, message });
