--- a/packages/core/src/admission/departures.ts
+++ b/packages/core/src/admission/departures.ts
@@ -30,7 +30,10 @@
  * isLeaving(departure, { ...announcement, incarnation: Date.now() - 60_000 }); // true
  * ```
  */
-export function isLeaving(departure: Departure | undefined, { incarnation }: Announcement): boolean {
+export function isLeaving(
+    departure: Departure | undefined,
+    { incarnation }: Pick<Announcement, "incarnation">,
+): boolean {
     return departure !== undefined && incarnation <= (departure.incarnation ?? departure.since);
 }
 
--- a/packages/daemon/src/controllers/backendServers.ts
+++ b/packages/daemon/src/controllers/backendServers.ts
@@ -5,10 +5,8 @@
     isLeaving,
     isNewerAnnouncement,
     maxBackendServers,
-    maxDepartures,
     MessageKind,
     readAnnouncement,
-    recentDepartures,
     type Announcement,
     type BackendServer,
     type Departure,
@@ -19,12 +17,13 @@
 } from "@tanagertray/core";
 import type { Board } from "../board.js";
 import type { Closeable } from "../closeable.js";
+import { createDepartureLog } from "./departureLog.js";
 
 /** Keeps the backend servers of this host from their announcements and drain commands. */
 export function createBackendServers(board: Board): Closeable {
     const servers = board.claimValue("backendServers");
-    const events = board.claimFeed("backendServerEvents");
-    const departures = board.claimValue("departures");
+    const { warn, inform, reportChange } = createReports(board);
+    const departures = createDepartureLog(board, warn);
     const self = board.read("settings").host;
 
     function take(entry: Announcement | DrainCommand): void {
@@ -40,7 +39,7 @@
     function takeAnnouncement(announcement: Announcement): void {
         const current = board.read("backendServers");
         const known = current.get(announcement.id);
-        noteLeaving(announcement, known);
+        departures.noteLeaving(announcement, known);
         if (known === undefined && current.size >= maxBackendServers) {
             return warn("backendServer.tooMany", { id: announcement.id, limit: maxBackendServers });
         }
@@ -53,11 +52,11 @@
         if (rivals.some(({ incarnation }) => incarnation > announcement.incarnation)) {
             return warn("backendServer.late", { id: announcement.id, address: announcement.address });
         }
-        const departure = board.read("departures").get(announcement.id);
+        const departure = departures.of(announcement.id);
         const left = isLeaving(departure, announcement) ? departure : undefined;
         const server = merge(announcement, { known, left, now: board.read("clock").now });
         if (server.drainingSince !== undefined) {
-            noteDeparture(server.id, { since: server.drainingSince, incarnation: server.incarnation });
+            departures.note(server.id, { since: server.drainingSince, incarnation: server.incarnation });
         }
         const replaced = rivals.filter(({ incarnation }) => incarnation < announcement.incarnation);
         const others = [...current].filter(([id]) => !replaced.some(rival => rival.id === id));
@@ -70,58 +69,31 @@
         const known = board.read("backendServers").get(id);
         if (known === undefined) {
             // Its announcements may be on their way, as after a restart of this daemon.
-            noteDeparture(id, { since: board.read("clock").now, incarnation: undefined });
+            departures.note(id, { since: board.read("clock").now, incarnation: undefined });
             return warn("backendServer.unknown", { id });
         }
         const drainingSince = known.drainingSince ?? board.read("clock").now;
-        noteDeparture(id, { since: drainingSince, incarnation: known.incarnation });
-        const server = { ...known, state: BackendServerState.Draining, drainingSince };
-        servers.update(current => new Map(current).set(id, server));
-        reportChange(server, known);
-    }
-
-    /** A leaving is acknowledged, so it holds also when its announcement names no server to use. */
-    function noteLeaving(announcement: Announcement, known: BackendServer | undefined): void {
-        const { id, incarnation, state } = announcement;
-        const isOld = known !== undefined && !isNewerAnnouncement(announcement, known);
-        if (
-            state === BackendServerState.Draining &&
-            !isOld &&
-            !isLeaving(board.read("departures").get(id), announcement)
-        ) {
-            noteDeparture(id, { since: board.read("clock").now, incarnation });
-        }
+        departures.note(id, { since: drainingSince, incarnation: known.incarnation });
+        drain(known, drainingSince);
     }
 
-    function noteDeparture(id: string, departure: Departure): void {
-        const known = board.read("departures");
-        const [oldest] = known.keys();
-        const kept = new Map(known);
-        if (oldest !== undefined && known.size >= maxDepartures && !known.has(id)) {
-            kept.delete(oldest);
-            warn("backendServer.departureForgotten", { id: oldest, limit: maxDepartures });
-        }
-        departures.write(kept.set(id, departure));
+    function drain(known: BackendServer, drainingSince: number): void {
+        const server = { ...known, state: BackendServerState.Draining, drainingSince };
+        servers.update(current => new Map(current).set(known.id, server));
+        reportChange(server, known);
     }
 
     /** Takes a departure back that this host acknowledged before it was started again. */
     function restore({ id, incarnation }: HostDeparture): void {
         const { now } = board.read("clock");
-        const noted = board.read("departures").get(id);
-        if (noted !== undefined && incarnation <= (noted.incarnation ?? noted.since)) {
+        if (isLeaving(departures.of(id), { incarnation })) {
             return;
         }
-        noteDeparture(id, { since: now, incarnation });
-        events.append({
-            name: "backendServer.departureRestored",
-            level: EventLevel.Info,
-            fields: { id, incarnation },
-        });
+        departures.note(id, { since: now, incarnation });
+        inform("backendServer.departureRestored", { id, incarnation });
         const known = board.read("backendServers").get(id);
         if (known !== undefined && known.drainingSince === undefined && known.incarnation <= incarnation) {
-            const server = { ...known, state: BackendServerState.Draining, drainingSince: now };
-            servers.update(current => new Map(current).set(id, server));
-            reportChange(server, known);
+            drain(known, now);
         }
     }
 
@@ -134,11 +106,7 @@
     function dropSilent(): void {
         const { now } = board.read("clock");
         const current = board.read("backendServers");
-        const noted = board.read("departures");
-        const recent = recentDepartures(noted, current, now);
-        if (recent !== noted) {
-            departures.write(recent);
-        }
+        departures.forgetOld(current);
         const alive = [...current].filter(([, server]) => hasLease(server, now));
         if (alive.length < current.size) {
             servers.write(new Map(alive));
@@ -148,18 +116,6 @@
         }
     }
 
-    function reportChange(server: BackendServer, known: BackendServer | undefined): void {
-        if (known?.state !== server.state || known.incarnation !== server.incarnation) {
-            const { id, service, state, incarnation } = server;
-            const fields = { id, service, state, incarnation };
-            events.append({ name: "backendServer.changed", level: EventLevel.Info, fields });
-        }
-    }
-
-    function warn(name: string, fields: Event["fields"]): void {
-        events.append({ name, level: EventLevel.Warn, fields });
-    }
-
     const subscriptions = [
         board.follow("announcements", take),
         board.follow("peerInbox", takeMessage),
@@ -168,6 +124,22 @@
     return { close: () => subscriptions.forEach(subscription => subscription.close()) };
 }
 
+function createReports(board: Board) {
+    const events = board.claimFeed("backendServerEvents");
+    const report = (level: EventLevel) => (name: string, fields: Event["fields"]) =>
+        events.append({ name, level, fields });
+    const inform = report(EventLevel.Info);
+    return {
+        warn: report(EventLevel.Warn),
+        inform,
+        reportChange({ id, service, state, incarnation }: BackendServer, known: BackendServer | undefined) {
+            if (known?.state !== state || known.incarnation !== incarnation) {
+                inform("backendServer.changed", { id, service, state, incarnation });
+            }
+        },
+    };
+}
+
 interface MergeInput {
     readonly known: BackendServer | undefined;
     /** Departure of the start that announces itself. */
