fix(platform): a head row of another form and an answer without end count as lost

Cause: the project's own platform client took any JSON for a head row. "null" threw where its version was read, in a promise that nobody handles, so that the process ended; a row without a version counted as a read that confirms the held one. Nothing bounded the size of an answer but its deadline.

--- a/packages/daemon/src/adapters/platform/httpTransport.ts
+++ b/packages/daemon/src/adapters/platform/httpTransport.ts
@@ -6,16 +6,22 @@
 } from "@tanagertray/core";
 import { Pool, type Dispatcher } from "undici";
 import type { Board } from "../../board.js";
+import { maxMessageBytes } from "../peers/constants.js";
 import { maxRequestsInFlight, type PlatformTransport } from "./platformClient.js";
 
 /** Time for a read of the platform, in milliseconds. */
 const readDeadlineMs = 2_000;
 /** Time for a write of the platform, in milliseconds. */
 const writeDeadlineMs = 5_000;
+/** Largest answer that is read, in bytes: four times the largest message between daemons, which carries the same parts. */
+const maxAnswerBytes = 4 * maxMessageBytes;
 
 /** Carries requests over the project's own HTTP interface of the table service and object store. */
 export function createHttpTransport(board: Board): PlatformTransport {
-    const pool = new Pool(board.read("settings").platform.url, { connections: maxRequestsInFlight });
+    const pool = new Pool(board.read("settings").platform.url, {
+        connections: maxRequestsInFlight,
+        maxResponseSize: maxAnswerBytes,
+    });
     return { send: request => sendRequest(pool, request), close: () => pool.destroy() };
 }
 
--- a/packages/daemon/src/adapters/platform/platformClient.ts
+++ b/packages/daemon/src/adapters/platform/platformClient.ts
@@ -65,7 +65,7 @@
     }
 
     async function carryOut(command: PlatformCommand): Promise<void> {
-        const result = await transport.send(command.request);
+        const result = checkHead(command.request, await transport.send(command.request));
         inFlight -= 1;
         noteReachability(result);
         noteHeadOf[command.request.operation]?.(command.request as never, result);
@@ -139,6 +139,17 @@
     };
 }
 
+/** The head row is read for its version, so one without it tells as little as no answer. */
+function checkHead(request: PlatformRequest, result: PlatformResult): PlatformResult {
+    const isHeadRow =
+        request.operation === PlatformOperation.ReadRow &&
+        request.key === headKey &&
+        result.answer === PlatformAnswer.Row;
+    return isHeadRow && !Number.isSafeInteger((result.row as Partial<Head> | null)?.version)
+        ? { answer: PlatformAnswer.Lost, message: "the head row has another form" }
+        : result;
+}
+
 function reachabilityEvent(result: PlatformResult, afterMs: number): Event {
     return result.answer === PlatformAnswer.Lost
         ? {
