fix(calls): calls that wait behind another on their connection end when the client leaves

Cause: the HTTP library tells only the response that is next on a connection of its close. A call behind it was not cancelled, so that its backend server worked on until the call's end.

Change: a response that waits follows the close of its connection, with one listener for each connection.

--- a/packages/daemon/src/adapters/calls/incoming.ts
+++ b/packages/daemon/src/adapters/calls/incoming.ts
@@ -20,6 +20,7 @@
 import { readRequestHead, type RequestHead } from "./headers.js";
 import { decodeRoute, encodeRoute, routeHeader } from "./hopRoute.js";
 import { matchOwn, ownDialect } from "./ownDialect.js";
+import { onceConnectionCloses } from "./waitingResponses.js";
 
 /** A request whose head was checked and matched with the configuration. */
 export interface IncomingCall {
@@ -218,12 +219,14 @@
         }
     };
     response.once("close", leave);
+    const stopWaiting = onceConnectionCloses(response, leave);
     context.cancels.add(control);
     return {
         control,
         close() {
             timer.cancel();
             response.off("close", leave);
+            stopWaiting?.();
             context.cancels.delete(control);
         },
     };
