fix(calls): an answer 204 or 304 whose head names a length is whole

Cause: the client library waits for as many bytes as the head names, although these statuses have no body, and fails the response. The head had been passed on, so that the caller's connection was reset behind a whole answer and the failure counted against the backend server.

Change: a response that is passed on and ends with its head is whole although the library fails it. The end of an exchange is a function of its own, and what a connection may carry is decided beside its record.

--- a/packages/daemon/features/answerEnds.feature
+++ b/packages/daemon/features/answerEnds.feature
@@ -41,3 +41,16 @@
         Given a backend server that is gone
         When a call is sent to it
         Then the exchange ends "neverWritten" with ""
+
+    # Guards against a whole answer that is cut, because its head names the length of a body that its status excludes.
+    @own-answer
+    Scenario Outline: An answer <status> with a length is whole
+        Given a backend server that answers <status> with a length
+        When a call is sent to it
+        Then the exchange ends "completed" with ""
+        And the answer was ended
+
+        Examples:
+            | status |
+            | 204    |
+            | 304    |
--- a/packages/daemon/features/steps/answerEnds.ts
+++ b/packages/daemon/features/steps/answerEnds.ts
@@ -20,6 +20,8 @@
         body: string;
         isSlow: boolean;
         resume: (() => void) | undefined;
+        /** Whether the end of the answer was passed on. */
+        isEnded: boolean;
     };
 }
 
@@ -27,6 +29,8 @@
     "without a length": "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nfirst half",
     "in chunks":
         "HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\na\r\nfirst half\r\n",
+    "204 with a length": "HTTP/1.1 204 No Content\r\ncontent-length: 5\r\n\r\n",
+    "304 with a length": "HTTP/1.1 304 Not Modified\r\ncontent-length: 5\r\n\r\n",
 };
 
 const endings: Readonly<Record<string, (socket: Socket) => void>> = {
@@ -60,7 +64,7 @@
             return !ends.isSlow;
         },
         onceWritable: resume => (ends.resume = resume),
-        end: () => undefined,
+        end: () => void (ends.isEnded = true),
     };
     return exchange({
         connections: ends.pools.get(ends.address, 4),
@@ -99,6 +103,7 @@
         body: "",
         isSlow: false,
         resume: undefined,
+        isEnded: false,
     };
 }
 
@@ -108,6 +113,10 @@
     await untilHalf(this.answerEnds);
 });
 
+Given(/^a backend server that answers (.+)$/, async function (this: World, kind: string) {
+    await openServer(this, kind);
+});
+
 Given("a backend server that is gone", async function (this: World) {
     await openServer(this, "");
     await new Promise(resolve => this.answerEnds.server.close(resolve));
@@ -167,6 +176,10 @@
     assert.equal(this.answerEnds.body, body);
 });
 
+Then("the answer was ended", function (this: World) {
+    assert.ok(this.answerEnds.isEnded);
+});
+
 After(async function (this: Partial<World>) {
     if (this.answerEnds !== undefined) {
         this.answerEnds.sockets.forEach(socket => socket.destroy());
--- a/packages/daemon/src/adapters/calls/connections.ts
+++ b/packages/daemon/src/adapters/calls/connections.ts
@@ -28,6 +28,15 @@
     traceConnection(current: () => Connection | undefined): void;
 }
 
+/** Whether a response on the connection can be told to belong to an exchange with this id. */
+export function mayCarry(
+    { exchanges, ids, received, receivedAtEnd }: Connection,
+    id: string | undefined,
+): boolean {
+    const isQuiet = received() === receivedAtEnd;
+    return isQuiet && (exchanges === 0 || (id !== undefined && !ids.has(id)));
+}
+
 /** Code by which the client library knows an error of the connection alone, after which others carry on. */
 const connectionErrorCode = "UND_ERR_SOCKET";
 
--- a/packages/daemon/src/adapters/calls/exchange.ts
+++ b/packages/daemon/src/adapters/calls/exchange.ts
@@ -1,11 +1,11 @@
 import { attribute, Attribution, RejectionCause } from "@tanagertray/core";
 import type { Dispatcher } from "undici";
 import type { Cancellation } from "./cancellation.js";
-import type { Connection, TracedDispatch } from "./connections.js";
+import { mayCarry, type Connection, type TracedDispatch } from "./connections.js";
 import { maxBytesWithoutBody, maxRefusalBytes, maxResponseBytes, refusalRestMs } from "./constants.js";
 import { headerValues } from "./headers.js";
 import type { Connections } from "./pools.js";
-import { causeInHead, type ReceivedHead } from "./receivedHead.js";
+import { bodilessStatuses, causeInHead, type ReceivedHead } from "./receivedHead.js";
 import { ReceptionKind, type Reception, type Rejection, type ResponseSink } from "./reception.js";
 import type { Timer, Timers } from "./timers.js";
 
@@ -71,6 +71,8 @@
     head: Rejection["head"];
     /** Whether the connection may not be used again. */
     discards: boolean;
+    /** Whether the response that is passed on ends with its head. The client library misses a body that it names. */
+    isWhole: boolean;
     settled: boolean;
     timer: Timer | undefined;
     cancel: () => void;
@@ -114,6 +116,7 @@
             sink: undefined,
             head: undefined,
             discards: false,
+            isWhole: false,
             settled: false,
             timer: undefined,
             cancel: () => fail(progress, options.cancellation.reason as Error, RejectionCause.CallOver),
@@ -171,6 +174,27 @@
     started?.controller.abort(error);
 }
 
+/** Passes on the end of a response, unless its connection was reset in front of it. */
+function complete(progress: Progress): void {
+    if (progress.settled) {
+        return;
+    }
+    const connection = progress.started?.connection;
+    if (connection?.isCut === true && !progress.isWhole) {
+        fail(progress, cutShort, RejectionCause.Broken);
+        return;
+    }
+    if (connection !== undefined) {
+        connection.onReadable = undefined;
+        connection.receivedAtEnd = connection.received();
+        if (progress.discards) {
+            connection.discard();
+        }
+    }
+    progress.sink?.end();
+    settle(progress, { end: ExchangeEnd.Completed });
+}
+
 /** Describes what came of the response; `undefined` when nothing did. */
 function rejectionOf(progress: Progress, started: Started, cause: RejectionCause): Rejection | undefined {
     const { connection, exchangesBefore, receivedBefore } = started;
@@ -203,26 +227,9 @@
                 takeData(progress, progress.started, chunk);
             }
         },
-        onResponseEnd() {
-            if (progress.settled) {
-                return;
-            }
-            const connection = progress.started?.connection;
-            if (connection?.isCut === true) {
-                fail(progress, cutShort, RejectionCause.Broken);
-                return;
-            }
-            if (connection !== undefined) {
-                connection.onReadable = undefined;
-                connection.receivedAtEnd = connection.received();
-                if (progress.discards) {
-                    connection.discard();
-                }
-            }
-            progress.sink?.end();
-            settle(progress, { end: ExchangeEnd.Completed });
-        },
-        onResponseError: (_controller, error) => fail(progress, error, RejectionCause.Broken),
+        onResponseEnd: () => complete(progress),
+        onResponseError: (_controller, error) =>
+            progress.isWhole ? complete(progress) : fail(progress, error, RejectionCause.Broken),
     };
 
     function begin(progress: Progress, controller: Dispatcher.DispatchController): void {
@@ -256,12 +263,6 @@
     }
 }
 
-/** Whether a response on the connection can be told to belong to an exchange with this id. */
-function mayCarry({ exchanges, ids, received, receivedAtEnd }: Connection, id: string | undefined): boolean {
-    const isQuiet = received() === receivedAtEnd;
-    return isQuiet && (exchanges === 0 || (id !== undefined && !ids.has(id)));
-}
-
 /** Ends an exchange whose response goes on without any of its body. Runs when bytes came, before they are parsed. */
 function boundBytes(progress: Progress, started: Started, connection: Connection): void {
     if (!started.paused && started.parsed - started.receivedAtBody > maxBytesWithoutBody) {
@@ -302,6 +303,7 @@
     // A late copy of a response without an id would be taken for the next one.
     progress.discards = attribution === Attribution.Only;
     const reception = options.onHead(status, raw);
+    progress.isWhole = reception.kind === ReceptionKind.Pass && bodilessStatuses.has(status);
     receive[reception.kind](progress, reception as never);
 }
 
--- a/packages/daemon/src/adapters/calls/receivedHead.ts
+++ b/packages/daemon/src/adapters/calls/receivedHead.ts
@@ -9,6 +9,9 @@
     readonly raw: readonly (Buffer | string)[];
 }
 
+/** Statuses of responses that end with their head, whatever length it names (RFC 9112, section 6.3). */
+export const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
 /** Why a head that names its exchange is not passed on; `undefined` when it is. */
 export function causeInHead(reasonPhrase: string, raw: readonly string[]): RejectionCause | undefined {
     if (holdsOtherHead([reasonPhrase, ...raw])) {
