--- a/packages/standin/src/site/siteAnswers.ts
+++ b/packages/standin/src/site/siteAnswers.ts
@@ -95,6 +95,11 @@
     [AnswerMode.Encoded]: (response, run, state) => {
         response.writeHead(200, { ...headersOf(run, state), "content-encoding": "gzip" }).end(answerBody);
     },
+    [AnswerMode.EncodedLater]: (response, run, state) => {
+        const codings = ["content-encoding: identity", "content-encoding: gzip"];
+        const lines = [...headLines(run, state), ...codings, `content-length: ${answerBody.length}`];
+        writeRaw(response, lines, answerBody);
+    },
     [AnswerMode.Twice]: (response, run, state) => {
         response.socket?.write(`${wholeText(run, state)}${wholeText(run, state)}`);
     },
--- a/packages/standin/src/site/siteRun.ts
+++ b/packages/standin/src/site/siteRun.ts
@@ -16,6 +16,8 @@
     /** No signature. */
     Unsigned: "unsigned",
     Encoded: "encoded",
+    /** Two codings in two headers, the first of which is none. */
+    EncodedLater: "encodedLater",
     /** A second whole answer, with the id of the call before, behind the first. */
     Twice: "twice",
     /** Runs the call and closes the connection without an answer. */
