fix(calls): a request that repeats the id or the deadline of its dialect is refused

Cause: headers that a request may carry once were those of the project's own form only. In another dialect two ids reached the backend server; the daemon matched the answer by one of them, and a server that repeats both or the other one lost the answer of a call that ran. Of two deadlines the last one counted.

Change: every header that the daemons read for themselves may stand once.

Figures: the 3 examples of the new outline failed before (502 twice and 200 in place of 400, after the call had run) and pass now, with the 28 of the outline of answers and the 15 requests that could be read in two ways. In one run before the change one of the 28 failed with "listen EADDRINUSE" of a free port that another process took; it passed in the next.

--- a/packages/daemon/src/adapters/calls/headers.ts
+++ b/packages/daemon/src/adapters/calls/headers.ts
@@ -20,8 +20,8 @@
 const neverNominated = /^(content-length|host|transfer-encoding|traceparent|tanagertray-.*)$/;
 const ownPrefix = "tanagertray-";
 export const outcomeHeader = "tanagertray-outcome";
-/** Headers that a request may carry once at most. */
-const single = /^(content-length|transfer-encoding|host|traceparent|tanagertray-.*)$/;
+/** Headers that a request may carry once at most, besides those of the dialect. */
+const single = /^(content-length|transfer-encoding|host)$/;
 
 export interface RequestHead {
     /** Names and values to pass on, alternating. */
@@ -47,9 +47,10 @@
     for (let i = 0; i + 1 < raw.length; i += 2) {
         const name = (raw[i] as string).toLowerCase();
         const value = raw[i + 1] as string;
-        repeatsSingle ||= byName.has(name) && single.test(name);
+        const isRead = isOwn(name, rules);
+        repeatsSingle ||= byName.has(name) && (isRead || single.test(name));
         byName.set(name, value);
-        if (isOwn(name, rules)) {
+        if (isRead) {
             own.set(name, value);
         }
         if (!isDropped(name, nominated) && (rules.passesHost || name !== "host") && !rules.isReserved(name)) {
