fix(calls): a barred call does not start after a pause of its daemon

Cause: a bar ends after 30 s by the clock of the daemon that set it. A call whose hop was read, and which had its slot but not its connection yet when the process was stopped for longer, found no bar when it went on, and ran although another daemon had been told that it never would.

Change: a call that has not started 10 s after it was read is refused, which is what is left of 30 s when the hop was as old, and the clocks as different, as they may be.

--- a/packages/daemon/features/calls.feature
+++ b/packages/daemon/features/calls.feature
@@ -252,6 +252,20 @@
             | 60000    | 1500  |
             | 600000   | 20000 |
 
+    # Guards against a barred call that starts after all, because its daemon stood still until the bar had ended.
+    @not-run-is-true @at-most-once
+    Scenario Outline: A barred call does not start after a pause of the process
+        Given a daemon that has read a call
+        When another daemon asks for its fate, and the process stands still for <paused> ms
+        Then the other daemon learns that it "barred"
+        And the call does not start
+
+        Examples:
+            | paused |
+            | 0      |
+            | 29000  |
+            | 40000  |
+
     @not-run-is-true @at-most-once @silent-connection
     Scenario: A lost hop is barred at the other daemon and then safely sent elsewhere
         Given a call deployment of 3 hosts where the entry host has no backend server
--- a/packages/daemon/features/steps/fates.ts
+++ b/packages/daemon/features/steps/fates.ts
@@ -32,45 +32,70 @@
     await setImmediate();
 }
 
+async function openFates(world: World): Promise<void> {
+    const endpoint = "127.0.0.1:0";
+    const settings = resolveSettings({
+        host: "h1",
+        failureDomain: "d1",
+        region: "r1",
+        listen: { calls: endpoint, peer: endpoint, admin: endpoint },
+        platform: { url: "http://127.0.0.1:9" },
+        keys: { operator: [], backendServer: [], peer: [] },
+    });
+    const board = createBoard(settings, startedAt);
+    world.fateBoard = board;
+    world.fateInbox = board.claimFeed("peerInbox");
+    world.fateClock = board.claimValue("clock");
+    world.fates = createFates(board, () => world.fateNow);
+    world.answers = [];
+    board.follow("callsOutbox", ({ message }) => {
+        if (message.kind === MessageKind.Fate) {
+            world.answers.push(message.fate);
+        }
+    });
+    await passTo(world, startedAt);
+    world.attemptId = randomUUID();
+}
+
+async function askFate(world: World): Promise<void> {
+    const message = { kind: MessageKind.FateRequest, callId: world.attemptId };
+    world.fateInbox.append({ from: "h2", receivedAt: world.fateNow, message });
+    await setImmediate();
+}
+
 Given(
     "a daemon that started a call with a deadline after {int} ms",
     async function (this: World, deadlineMs: number) {
-        const endpoint = "127.0.0.1:0";
-        const settings = resolveSettings({
-            host: "h1",
-            failureDomain: "d1",
-            region: "r1",
-            listen: { calls: endpoint, peer: endpoint, admin: endpoint },
-            platform: { url: "http://127.0.0.1:9" },
-            keys: { operator: [], backendServer: [], peer: [] },
-        });
-        const board = createBoard(settings, startedAt);
-        this.fateBoard = board;
-        this.fateInbox = board.claimFeed("peerInbox");
-        this.fateClock = board.claimValue("clock");
-        this.fates = createFates(board, () => this.fateNow);
-        this.answers = [];
-        board.follow("callsOutbox", ({ message }) => {
-            if (message.kind === MessageKind.Fate) {
-                this.answers.push(message.fate);
-            }
-        });
-        await passTo(this, startedAt);
-        this.attemptId = randomUUID();
+        await openFates(this);
         this.deadline = startedAt + deadlineMs;
-        assert.ok(this.fates.start(this.attemptId, this.deadline));
+        assert.ok(this.fates.start(this.attemptId, { deadline: this.deadline, readAt: startedAt }));
     },
 );
 
+Given("a daemon that has read a call", async function (this: World) {
+    await openFates(this);
+    this.deadline = startedAt + 600_000;
+});
+
+When(
+    "another daemon asks for its fate, and the process stands still for {int} ms",
+    async function (this: World, pausedMs: number) {
+        await askFate(this);
+        await passTo(this, startedAt + pausedMs);
+    },
+);
+
+Then("the call does not start", function (this: World) {
+    assert.equal(this.fates.start(this.attemptId, { deadline: this.deadline, readAt: startedAt }), false);
+});
+
 When(
     "the call ends at its deadline, and another daemon asks for its fate {int} ms later",
     async function (this: World, laterMs: number) {
         await passTo(this, this.deadline);
         this.fates.finish(this.attemptId);
         await passTo(this, this.deadline + laterMs);
-        const message = { kind: MessageKind.FateRequest, callId: this.attemptId };
-        this.fateInbox.append({ from: "h2", receivedAt: this.fateNow, message });
-        await setImmediate();
+        await askFate(this);
     },
 );
 
--- a/packages/daemon/src/adapters/calls/constants.ts
+++ b/packages/daemon/src/adapters/calls/constants.ts
@@ -15,6 +15,11 @@
 export const hopValidityMs = 10_000;
 /** Longer than a hop can stay valid and queued, so that a barred call cannot start later. */
 export const barMs = 30_000;
+/**
+ * Time from the read of a call until its start, in milliseconds. After a longer one, as after a pause of the process, a bar
+ * may have ended that was set before the hop was read, by a clock that differs as much as a hop allows.
+ */
+export const startLimitMs = barMs - 2 * hopValidityMs;
 /** Time to wait for an answer on a call's fate, in milliseconds. */
 export const fateWaitMs = 1_000;
 /** Connections to one other daemon. */
--- a/packages/daemon/src/adapters/calls/fates.ts
+++ b/packages/daemon/src/adapters/calls/fates.ts
@@ -10,14 +10,21 @@
     type Target,
 } from "@tanagertray/core";
 import type { Board } from "../../board.js";
-import { barMs } from "./constants.js";
+import { barMs, startLimitMs } from "./constants.js";
 
 /** Period in which expired entries are removed, in milliseconds. */
 const expiryPeriodMs = 1_000;
 
+/** Times of a call that is about to start, in milliseconds since the epoch. */
+export interface StartTimes {
+    readonly deadline: number;
+    /** When it was read, or its way to a backend server began. */
+    readonly readAt: number;
+}
+
 export interface Fates {
     /** Marks an attempt as running; false forbids it. */
-    start(attemptId: string, deadline: number): boolean;
+    start(attemptId: string, times: StartTimes): boolean;
     finish(attemptId: string): void;
     /** Asks another daemon for a call, and bars it there. True when the call never ran and never will. */
     askBarred(target: Target, attemptId: string, waitMs: number): Promise<boolean>;
@@ -82,7 +89,9 @@
     ];
     return {
         // The entry daemon may ask after the deadline, when the call was cancelled at it.
-        start: (attemptId, deadline) => startCall(table, attemptId, Math.max(deadline, now()) + barMs, now()),
+        start: (attemptId, { deadline, readAt }) =>
+            now() - readAt < startLimitMs &&
+            startCall(table, attemptId, Math.max(deadline, now()) + barMs, now()),
         finish: attemptId => finishCall(table, attemptId),
         askBarred,
         close: () => subscriptions.forEach(subscription => subscription.close()),
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -67,7 +67,7 @@
             refused = refusal(RefusalReason.DeadlinePassed);
             return false;
         }
-        if (!context.fates.start(call.attemptId, call.deadline)) {
+        if (!context.fates.start(call.attemptId, { deadline: call.deadline, readAt: queuedAt })) {
             refused = refusal(RefusalReason.Barred);
             return false;
         }
