test(answers): malformed, cut and rare forms of answers

23 forms of answers that end at two places, depending on who reads them, or that are cut, and 4 rare ones that are whole, through two daemons. Guards against a client library, or options of it, that reads them otherwise.

--- a/packages/daemon/features/answers.feature
+++ b/packages/daemon/features/answers.feature
@@ -60,6 +60,53 @@
             | beside       | headAgain     |
             | beside       | refusalBehind |
 
+    # Guards against answers that end at two places, depending on who reads them.
+    @own-answer @at-most-once
+    Scenario Outline: An answer that is malformed or cut is not whole
+        Given a backend server on another host that answers with <kind>
+        When a call that may not be repeated meets that answer
+        Then its caller gets no whole answer, and it ran once
+
+        Examples:
+            | kind                           |
+            | a length and a coding          |
+            | a coding and a length          |
+            | two lengths                    |
+            | the same length twice          |
+            | a list of lengths              |
+            | a negative length              |
+            | an empty length                |
+            | a length beyond 64 bits        |
+            | line feeds alone               |
+            | a folded header                |
+            | a folded length                |
+            | a NUL in a header              |
+            | a carriage return in a header  |
+            | a space before a colon         |
+            | another protocol               |
+            | a continue                     |
+            | a status below 100             |
+            | a body behind early hints      |
+            | a last chunk that is cut       |
+            | no last chunk                  |
+            | a wrong chunk size             |
+            | a body shorter than its length |
+            | an old version and a cut body  |
+
+    # Guards against whole answers of a rare form that are taken for malformed ones.
+    @own-answer
+    Scenario Outline: An answer of a rare form is whole
+        Given a backend server on another host that answers with <kind>
+        When a call that may not be repeated meets that answer
+        Then its caller gets the whole answer, and it ran once
+
+        Examples:
+            | kind                           |
+            | blank lines in front           |
+            | early hints in front           |
+            | an extension of a chunk        |
+            | an old version and no length   |
+
     # Guards against the response to an earlier hop that is taken for that of the next one.
     @own-answer
     Scenario Outline: A response of another daemon that does not name the hop is not passed on
