fix(standin): a caller that leaves within a body does not end the stand-in backend server

Cause: the promise that serves a call was not handled, and a body that is cut rejects it, so that the program of the stand-in ends as if it had crashed.

Change: such a call alone is given up.

--- a/packages/standin/src/site/siteServer.ts
+++ b/packages/standin/src/site/siteServer.ts
@@ -85,7 +85,8 @@
         flooded: 0,
     };
     const server = createServer((request, response) => {
-        void serve(state, request, response);
+        // A caller that leaves within a body ends that call alone.
+        serve(state, request, response).catch(() => response.destroy());
     });
     const address = await listenOn(server, resolved.port);
     const announce = (change: Readonly<Record<string, unknown>> = {}) => beat(state, address, change);
