fix(calls): an answer that is cut at the drain limit ends with a reset

Cause: the connections of the callers were closed in the same turn in which their calls were cancelled, before the calls could reset them. A client that knows no chunks takes the end of its connection for the end of the answer.

Change: the connections that are left are closed one turn later.

--- a/packages/daemon/features/answers.feature
+++ b/packages/daemon/features/answers.feature
@@ -137,3 +137,11 @@
         Given a backend server with faults beside its callers
         When an answer without a length is paused and its connection is reset
         Then its exchange ends as "truncated"
+
+    # Guards against a cut answer that an old client takes for a whole one, because its connection ends without a reset.
+    @own-answer @graceful-shutdown
+    Scenario: An answer that is cut at the drain limit is not whole for a client that knows no chunks
+        Given a call deployment of 1 hosts
+        And its backend server writes a chunk and no more
+        When a client that knows no chunks has received it and the daemon stops
+        Then its connection is reset
--- a/packages/daemon/src/adapters/calls/createCalls.ts
+++ b/packages/daemon/src/adapters/calls/createCalls.ts
@@ -123,7 +123,8 @@
             const timer = setTimeout(
                 () => {
                     context.cancels.forEach(cancel => cancel.cancel(stopped));
-                    server.closeAllConnections();
+                    // The calls just cancelled reset their connections first; an end would make a cut answer look whole.
+                    setImmediate(() => server.closeAllConnections());
                 },
                 drainLimitMs(board) - board.read("settings").shutdown.lingerMs,
             );
