--- a/packages/daemon/src/adapters/traces.ts
+++ b/packages/daemon/src/adapters/traces.ts
@@ -43,8 +43,9 @@
         "tanagertray.failure_domain": failureDomain,
         "cloud.region": region,
     });
-    const { origin, pathname, search } = new URL(traces.url as string);
-    const pool = new Pool(origin, { connections: 1 });
+    const collector = new URL(traces.url as string);
+    // Batches are sent one after another.
+    const pool = new Pool(collector.origin, { connections: 1 });
     const waiting: Span[] = [];
     let dropped = 0;
     let sending: Promise<void> | undefined;
@@ -62,7 +63,7 @@
         const body = JSON.stringify(encodeBatch(resource, spans));
         try {
             const response = await pool.request({
-                path: `${pathname}${search}`,
+                path: `${collector.pathname}${collector.search}`,
                 method: "POST",
                 headers: { "content-type": "application/json" },
                 body,
@@ -99,7 +100,7 @@
             if (waiting.length > 0) {
                 await sendBatch();
             }
-            await pool.destroy();
+            await pool.close();
         },
     };
 }
--- a/scripts/bundle/undici.mjs
+++ b/scripts/bundle/undici.mjs
@@ -1,5 +1,5 @@
 // The parts of undici that the daemon uses. Its index loads fetch, caches and WebSocket too, which a start would pay for.
-// Exports by name let the bundler refuse an import that is not among them.
+// As an ECMAScript module, it fails the build when the daemon imports a name that is missing here.
 import api from "undici/lib/api/index.js";
 import Dispatcher from "undici/lib/dispatcher/dispatcher.js";
 
