--- a/packages/standin/src/site/siteDaemon.ts
+++ b/packages/standin/src/site/siteDaemon.ts
@@ -7,6 +7,7 @@
 const bundle = "target/tanagertray.cjs";
 const settingsVariable = "TANAGERTRAY_BOOT";
 const nanosecondsPerMillisecond = 1e6;
+const kilobytesPerMegabyte = 1_024;
 
 export interface SiteDaemonOptions {
     readonly host: string;
@@ -35,6 +36,8 @@
     isReady(): Promise<boolean>;
     /** Processor time since its start, in milliseconds. Needs `/proc`. */
     processorMs(): number;
+    /** Largest resident memory since its start, in megabytes of 2^20 bytes. Needs `/proc`. */
+    peakMemoryMb(): number;
     close(signal?: NodeJS.Signals): Promise<void>;
 }
 
@@ -81,6 +84,7 @@
                 () => false,
             ),
         processorMs: () => processorMs(child),
+        peakMemoryMb: () => peakMemoryMb(child),
         async close(signal = "SIGKILL") {
             if (child.exitCode === null && child.signalCode === null) {
                 const exited = once(child, "exit");
@@ -106,3 +110,9 @@
         return sum + Number(spent) / nanosecondsPerMillisecond;
     }, 0);
 }
+
+/** `VmHWM` of `status` is the peak of the resident set, in kilobytes. */
+function peakMemoryMb({ pid }: ChildProcess): number {
+    const [, kilobytes = ""] = /^VmHWM:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${pid}/status`, "utf8")) ?? [];
+    return Number(kilobytes) / kilobytesPerMegabyte;
+}
--- a/scripts/bench/control/daemonCost.ts
+++ b/scripts/bench/control/daemonCost.ts
@@ -117,6 +117,7 @@
                 unit: "bytes/host/s",
             },
             callMs: { value: callsSpent / calls.made, unit: "ms/call" },
+            peakMemory: { value: Math.max(...daemons.map(daemon => daemon.peakMemoryMb())), unit: "MB" },
             unservedShare: { value: calls.unserved / calls.made, unit: "share of the calls" },
         };
     } finally {
