fix(bundle): the bundled daemon has the client for calls; a missing name fails the bundling

Cause: scripts/bundle/undici.cjs stands for undici in the bundle and did not name `Client`, which connections.ts uses since. An import of a name that a CommonJS module lacks is `undefined`, so every call of the bundled daemon to a backend server or another daemon ended as "unreachable". `request`, which the OTLP exporter used, was missing in the same way. Change: the stand-in is a module with named exports, so that a missing name is an error of the bundling; it names `Client`; the exporter uses a pool.

--- a/packages/daemon/src/adapters/traces.ts
+++ b/packages/daemon/src/adapters/traces.ts
@@ -1,5 +1,5 @@
 import { EventLevel, type Span, type StageDurations } from "@tanagertray/core";
-import { request } from "undici";
+import { Pool } from "undici";
 import type { Board } from "../board.js";
 import type { Closeable } from "../closeable.js";
 import { TraceExporter } from "../settings/settings.js";
@@ -43,6 +43,8 @@
         "tanagertray.failure_domain": failureDomain,
         "cloud.region": region,
     });
+    const { origin, pathname, search } = new URL(traces.url as string);
+    const collector = new Pool(origin, { connections: 1 });
     const waiting: Span[] = [];
     let dropped = 0;
     let sending: Promise<void> | undefined;
@@ -59,7 +61,8 @@
         const spans = waiting.splice(0, maxBatchSpans);
         const body = JSON.stringify(encodeBatch(resource, spans));
         try {
-            const response = await request(traces.url as string, {
+            const response = await collector.request({
+                path: `${pathname}${search}`,
                 method: "POST",
                 headers: { "content-type": "application/json" },
                 body,
@@ -96,6 +99,7 @@
             if (waiting.length > 0) {
                 await sendBatch();
             }
+            await collector.destroy();
         },
     };
 }
--- a/scripts/bundle/bundle.mjs
+++ b/scripts/bundle/bundle.mjs
@@ -24,7 +24,7 @@
     alias: {
         "@tanagertray/core": "./packages/core/src/index.ts",
         "@tanagertray/daemon": "./packages/daemon/src/index.ts",
-        undici: "./scripts/bundle/undici.cjs",
+        undici: "./scripts/bundle/undici.mjs",
         // The daemon speaks HTTP/1.1 only, so that a start need not load HTTP/2.
         "node:http2": "./scripts/bundle/noHttp2.cjs",
     },
