test(soak): a randomized fault soak of the bundled daemons, first version

Cause: nothing ran the bundled daemons as processes while faults came in series and overlapped. The stand-in backend server can make bodies that are unique to a run, refuse calls that expect another server at its address, and survives a caller that leaves in the middle of a body.

--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -11,3 +11,5 @@
 export * from "./site/operatorRow.js";
 export * from "./site/siteDaemon.js";
 export * from "./site/siteRun.js";
+export * from "./site/siteRun.js";
+export * from "./site/runBody.js";
--- a/packages/standin/src/site/operatorRow.ts
+++ b/packages/standin/src/site/operatorRow.ts
@@ -9,27 +9,50 @@
      * @default 0
      */
     readonly idleRoutes?: number;
+    /**
+     * Kinds of route of each service.
+     * @default ["safe"]
+     */
+    readonly kinds?: readonly string[];
+    /**
+     * Time-out of the routes, in milliseconds.
+     * @default 5000
+     */
+    readonly timeoutMs?: number;
+    /**
+     * Whether a route `/v<version>/` to the first service tells the version in force.
+     * @default false
+     */
+    readonly marked?: boolean;
 }
 
 /**
- * The operator's configuration row with a safe route `/safe-<service>/` for each service.
+ * The operator's configuration row with a route `/<kind>-<service>/` for each kind and service.
  *
  * @example
  * ```ts
  * store.put("op", "config", createOperatorRow({ version: 1, services: ["stock"], idleRoutes: 300 }));
  * ```
  */
-export function createOperatorRow({ version, services, idleRoutes = 0 }: OperatorRowOptions): unknown {
-    const rule = (name: string, prefix: string, service: string | undefined) => ({
-        name,
-        kind: "safe",
+export function createOperatorRow(options: OperatorRowOptions): unknown {
+    const {
+        version,
+        services,
+        idleRoutes = 0,
+        kinds = ["safe"],
+        timeoutMs = 5_000,
+        marked = false,
+    } = options;
+    const rule = (kind: string, prefix: string, service: string | undefined) => ({
+        name: prefix,
+        kind,
         "target-latency": "400ms",
         priority: 1,
-        "match-criteria": { prefix },
-        "route-action": { service, timeout: "5000ms", "retry-attempts": 2 },
+        "match-criteria": { prefix: `/${prefix}/` },
+        "route-action": { service, timeout: `${timeoutMs}ms`, "retry-attempts": 2 },
     });
     const idle = Array.from({ length: idleRoutes }, (_, at) =>
-        rule(`idle-${at}`, `/idle-${at}/`, services[at % services.length]),
+        rule("safe", `idle-${at}`, services[at % services.length]),
     );
     return {
         version,
@@ -43,7 +66,10 @@
             {
                 hostname: siteHostName,
                 "rule-set": [
-                    ...services.map(service => rule(`safe-${service}`, `/safe-${service}/`, service)),
+                    ...kinds.flatMap(kind =>
+                        services.map(service => rule(kind, `${kind}-${service}`, service)),
+                    ),
+                    ...(marked ? [rule("safe", `v${version}`, services[0])] : []),
                     ...idle,
                 ],
             },
--- a/packages/standin/src/site/siteAnswers.ts
+++ b/packages/standin/src/site/siteAnswers.ts
@@ -1,23 +1,33 @@
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { flood } from "./flood.js";
+import { createRunBody } from "./runBody.js";
 import type { SiteState } from "./siteServer.js";
 import { AnswerMode, type SiteRun } from "./siteRun.js";
 
 export const answerBody = "answer of the backend server";
 
-function headersOf({ id, number }: SiteRun, { running, options }: SiteState): Record<string, string> {
+/** Body of the answer: unique to the run and of the size that the call asks for, or short and always the same. */
+function bodyOf(run: SiteRun, { options }: SiteState): string {
+    const size = new URL(run.url, "http://server").searchParams.get("size");
+    return size === null ? answerBody : createRunBody({ ...run, server: options.id, size: Number(size) });
+}
+
+function headersOf({ id, number, hash }: SiteRun, { running, options }: SiteState): Record<string, string> {
     return {
         "x-attempt-id": id,
         "x-run": String(number),
+        "x-server": options.id,
+        "x-body-hash": hash,
         "x-server-signature": "3e1b.07.5a2.600.0.c9f2a4d1",
         "x-server-load": `${running},0,${options.slots}`,
     };
 }
 
 function answerWhole(response: ServerResponse, run: SiteRun, state: SiteState): void {
-    response.writeHead(200, { ...headersOf(run, state), "content-length": answerBody.length });
-    response.end(answerBody);
+    const body = bodyOf(run, state);
+    response.writeHead(200, { ...headersOf(run, state), "content-length": body.length });
+    response.end(body);
 }
 
 /** Writes bytes to the connection beside the HTTP library, which would not send such an answer. */
@@ -34,8 +44,9 @@
 const statusLine = "HTTP/1.1 200 OK\r\n";
 
 function wholeText(run: SiteRun, state: SiteState): string {
-    const lines = [...headLines(run, state), `content-length: ${answerBody.length}`];
-    return `${statusLine}${lines.join("\r\n")}\r\n\r\n${answerBody}`;
+    const body = bodyOf(run, state);
+    const lines = [...headLines(run, state), `content-length: ${body.length}`];
+    return `${statusLine}${lines.join("\r\n")}\r\n\r\n${body}`;
 }
 
 /** Head of an answer in chunks, which ends where its first chunk begins. */
@@ -74,26 +85,37 @@
     [AnswerMode.Replaced]: answerWhole,
     [AnswerMode.Early]: answerWhole,
     [AnswerMode.Truncated]: (response, run, state) => {
-        const lines = [...headLines(run, state), `content-length: ${answerBody.length + 10}`];
-        const socket = writeRaw(response, lines, answerBody);
+        const body = bodyOf(run, state);
+        const lines = [...headLines(run, state), `content-length: ${body.length + 10}`];
+        const socket = writeRaw(response, lines, body);
         setTimeout(() => socket?.end(), cutAfterMs);
     },
     [AnswerMode.UnframedReset]: (response, run, state) => {
-        const socket = writeRaw(response, [...headLines(run, state), "connection: close"], answerBody);
+        const socket = writeRaw(
+            response,
+            [...headLines(run, state), "connection: close"],
+            bodyOf(run, state),
+        );
         setTimeout(() => socket?.resetAndDestroy(), cutAfterMs);
     },
     [AnswerMode.Unframed]: (response, run, state) => {
-        const socket = writeRaw(response, [...headLines(run, state), "connection: close"], answerBody);
+        const socket = writeRaw(
+            response,
+            [...headLines(run, state), "connection: close"],
+            bodyOf(run, state),
+        );
         setTimeout(() => socket?.end(), cutAfterMs);
     },
     [AnswerMode.OtherId]: (response, run, state) => {
         answerWhole(response, { ...run, id: "of-another-call" }, state);
     },
-    [AnswerMode.Unsigned]: (response, run) => {
-        response.writeHead(200, { "x-attempt-id": run.id }).end(answerBody);
+    [AnswerMode.Unsigned]: (response, run, state) => {
+        response.writeHead(200, { "x-attempt-id": run.id }).end(bodyOf(run, state));
     },
     [AnswerMode.Encoded]: (response, run, state) => {
-        response.writeHead(200, { ...headersOf(run, state), "content-encoding": "gzip" }).end(answerBody);
+        response
+            .writeHead(200, { ...headersOf(run, state), "content-encoding": "gzip" })
+            .end(bodyOf(run, state));
     },
     [AnswerMode.Twice]: (response, run, state) => {
         response.socket?.write(`${wholeText(run, state)}${wholeText(run, state)}`);
@@ -110,7 +132,7 @@
         const socket = writeRaw(
             response,
             [...headLines(run, state), "transfer-encoding: x-other"],
-            answerBody,
+            bodyOf(run, state),
         );
         setTimeout(() => socket?.resetAndDestroy(), cutAfterMs);
     },
--- a/packages/standin/src/site/siteDaemon.ts
+++ b/packages/standin/src/site/siteDaemon.ts
@@ -1,6 +1,6 @@
 import { spawn, type ChildProcess } from "node:child_process";
 import { once } from "node:events";
-import { readdirSync, readFileSync, writeFileSync } from "node:fs";
+import { closeSync, openSync, readdirSync, readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 
 /** Bundle of the daemon for the platform; `node scripts/bundle/bundle.mjs` makes it. */
@@ -24,6 +24,22 @@
      * @default []
      */
     readonly nodeFlags?: readonly string[];
+    /**
+     * Address that other daemons use for this host, where a relay stands before it.
+     * @default its own
+     */
+    readonly advertisedPeer?: string;
+    /**
+     * File to which the output is appended.
+     * @default none; standard error goes to that of this process
+     */
+    readonly logFile?: string;
+}
+
+/** How a process ended. */
+export interface DaemonExit {
+    readonly code: number | null;
+    readonly signal: NodeJS.Signals | null;
 }
 
 /** A bundled daemon with the settings and flags of a deployment, as a process of its own. */
@@ -35,13 +51,17 @@
     isReady(): Promise<boolean>;
     /** Processor time since its start, in milliseconds. Needs `/proc`. */
     processorMs(): number;
+    /** Sends a signal, unless the process has ended. */
+    signal(signal: NodeJS.Signals): void;
+    readonly exited: Promise<DaemonExit>;
     close(signal?: NodeJS.Signals): Promise<void>;
 }
 
 /** Starts the bundled daemon as the deployment does. */
 export function startSiteDaemon(options: SiteDaemonOptions): SiteDaemon {
-    const { host, failureDomain, region, service, store, folder, nodeFlags = [] } = options;
+    const { host, failureDomain, region, service, store, folder, nodeFlags = [], logFile } = options;
     const [calls, peer, admin, announcements, readiness] = options.addresses;
+    const { advertisedPeer = peer } = options;
     const values: Readonly<Record<string, string>> = {
         "node-name": host,
         zone: failureDomain,
@@ -56,7 +76,10 @@
         "heartbeat-interval": "1500ms",
     };
     const file = join(folder, `${host}.jsonc`);
-    const template = readFileSync("deploy/settings.template.jsonc", "utf8");
+    const template = readFileSync("deploy/settings.template.jsonc", "utf8").replace(
+        '"daemon": {',
+        `"daemon": {\n        "advertise": { "peer": "${advertisedPeer}" },`,
+    );
     writeFileSync(
         file,
         Object.entries(values).reduce(
@@ -64,10 +87,23 @@
             template,
         ),
     );
+    const output = logFile === undefined ? undefined : openSync(logFile, "a");
     const child = spawn(process.execPath, [...deploymentFlags(), ...nodeFlags, bundle], {
         env: { ...process.env, [settingsVariable]: file },
-        stdio: ["ignore", "ignore", "inherit"],
+        stdio: ["ignore", output ?? "ignore", output ?? "inherit"],
     });
+    if (output !== undefined) {
+        closeSync(output);
+    }
+    const exited = once(child, "exit").then(([code, signal]): DaemonExit => ({
+        code: code as number | null,
+        signal: signal as NodeJS.Signals | null,
+    }));
+    const send = (signal: NodeJS.Signals) => {
+        if (child.exitCode === null && child.signalCode === null) {
+            child.kill(signal);
+        }
+    };
     return {
         calls,
         admin,
@@ -81,12 +117,11 @@
                 () => false,
             ),
         processorMs: () => processorMs(child),
+        signal: send,
+        exited,
         async close(signal = "SIGKILL") {
-            if (child.exitCode === null && child.signalCode === null) {
-                const exited = once(child, "exit");
-                child.kill(signal);
-                await exited;
-            }
+            send(signal);
+            await exited;
         },
     };
 }
--- a/packages/standin/src/site/siteRun.ts
+++ b/packages/standin/src/site/siteRun.ts
@@ -70,7 +70,11 @@
     readonly url: string;
     readonly headers: Readonly<Record<string, string | string[] | undefined>>;
     readonly bodyBytes: number;
+    /** SHA-256 of the body of the call, in hexadecimal; empty when it was not read. */
+    readonly hash: string;
     readonly startedAt: number;
+    /** How it is answered. */
+    readonly mode: AnswerMode;
     /** The connection closed before the answer was sent. */
     cancelled: boolean;
 }
--- a/packages/standin/src/site/siteServer.ts
+++ b/packages/standin/src/site/siteServer.ts
@@ -1,3 +1,4 @@
+import { createHash } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -20,6 +21,16 @@
     beatMs?: number;
     /** @default 0, a free port */
     port?: number;
+    /**
+     * Address that it announces, where a relay stands before it.
+     * @default its own
+     */
+    announced?: string;
+    /**
+     * Refuses calls that expect another backend server at its address.
+     * @default false
+     */
+    checksInstance?: boolean;
     /** Called when a call begins to run, before any of its work. */
     onRun?: (run: SiteRun) => void;
 }
@@ -70,6 +81,8 @@
         born: Date.now(),
         beatMs: 200,
         port: 0,
+        announced: "",
+        checksInstance: false,
         onRun: () => {},
         ...options,
     };
@@ -85,10 +98,12 @@
         flooded: 0,
     };
     const server = createServer((request, response) => {
-        void serve(state, request, response);
+        // A caller may leave in the middle of its body.
+        serve(state, request, response).catch(() => response.destroy());
     });
     const address = await listenOn(server, resolved.port);
-    const announce = (change: Readonly<Record<string, unknown>> = {}) => beat(state, address, change);
+    const announced = resolved.announced === "" ? address : resolved.announced;
+    const announce = (change: Readonly<Record<string, unknown>> = {}) => beat(state, announced, change);
     const timer = setInterval(() => void announce().catch(() => undefined), resolved.beatMs);
     // The daemon may start later; the next announcement finds it.
     await announce().catch(() => undefined);
@@ -150,7 +165,9 @@
 
 async function serve(state: SiteState, request: IncomingMessage, response: ServerResponse): Promise<void> {
     state.arrivals += 1;
-    const mode = state.mode;
+    const expected = request.headers["x-expected-instance"];
+    const isMisdirected = state.options.checksInstance && expected !== state.options.id;
+    const mode = isMisdirected ? AnswerMode.Replaced : state.mode;
     const id = String(request.headers["x-attempt-id"] ?? "");
     const refused = takeRefusal(mode, id, request.socket);
     if (refused !== undefined) {
@@ -158,14 +175,17 @@
         response.writeHead(refused.status, refused.headers).end();
         return;
     }
+    const body = mode === AnswerMode.Early ? unread : await readBody(request);
     const run: SiteRun = {
         id,
         number: state.runs.length + 1,
         method: request.method ?? "",
         url: request.url ?? "",
         headers: request.headers,
-        bodyBytes: mode === AnswerMode.Early ? 0 : await countBody(request),
+        bodyBytes: body.bytes,
+        hash: body.hash,
         startedAt: Date.now(),
+        mode,
         cancelled: false,
     };
     state.runs.push(run);
@@ -181,10 +201,19 @@
     }
 }
 
-async function countBody(request: IncomingMessage): Promise<number> {
+interface ReadBody {
+    readonly bytes: number;
+    readonly hash: string;
+}
+
+const unread: ReadBody = { bytes: 0, hash: "" };
+
+async function readBody(request: IncomingMessage): Promise<ReadBody> {
+    const hash = createHash("sha256");
     let bytes = 0;
     for await (const chunk of request as AsyncIterable<Buffer>) {
         bytes += chunk.length;
+        hash.update(chunk);
     }
-    return bytes;
+    return { bytes, hash: hash.digest("hex") };
 }
--- a/packages/standin/src/siteServerMain.ts
+++ b/packages/standin/src/siteServerMain.ts
@@ -12,8 +12,14 @@
 /** What this process reports over the channel. */
 export type SiteServerReport =
     | { readonly event: "started"; readonly address: string }
-    | { readonly event: "run"; readonly id: string; readonly url: string }
-    | { readonly event: "acknowledged"; readonly status: number };
+    | {
+          readonly event: "run";
+          readonly id: string;
+          readonly url: string;
+          readonly startedAt: number;
+          readonly mode: AnswerMode;
+      }
+    | { readonly event: "acknowledged"; readonly status: number; readonly at: number };
 
 const { values } = parseArgs({
     options: {
@@ -23,6 +29,9 @@
         port: { type: "string", default: "0" },
         "work-ms": { type: "string", default: "0" },
         "beat-ms": { type: "string", default: "200" },
+        slots: { type: "string", default: "8" },
+        announced: { type: "string", default: "" },
+        "checks-instance": { type: "boolean", default: false },
     },
 });
 
@@ -37,7 +46,10 @@
     port: Number(values.port),
     workMs: Number(values["work-ms"]),
     beatMs: Number(values["beat-ms"]),
-    onRun: ({ id, url }) => report({ event: "run", id, url }),
+    slots: Number(values.slots),
+    announced: values.announced,
+    checksInstance: values["checks-instance"],
+    onRun: ({ id, url, startedAt, mode }) => report({ event: "run", id, url, startedAt, mode }),
 });
 report({ event: "started", address: server.address });
 
@@ -48,6 +60,9 @@
 } satisfies Record<SiteServerCommand["command"], (command: SiteServerCommand) => Promise<number>>;
 
 process.on("message", (command: SiteServerCommand) => {
-    void handlers[command.command](command).then(status => report({ event: "acknowledged", status }));
+    void handlers[command.command](command).then(
+        status => report({ event: "acknowledged", status, at: Date.now() }),
+        () => report({ event: "acknowledged", status: 0, at: Date.now() }),
+    );
 });
 process.once("disconnect", () => process.exit(0));
--- /dev/null
+++ b/scripts/soak.ts
@@ -0,0 +1,52 @@
+/** Plays seeds of the fault soak and prints what broke a promise. Exit code 1 with findings, 2 for mistakes. */
+import { spawnSync } from "node:child_process";
+import { readFileSync } from "node:fs";
+import { join } from "node:path";
+import { parseArgs } from "node:util";
+import { runSoak } from "./soak/run.js";
+
+const { values } = parseArgs({
+    options: {
+        seed: { type: "string", default: "1" },
+        seeds: { type: "string", default: "1" },
+        seconds: { type: "string", default: "20" },
+        hosts: { type: "string", default: "4" },
+        folder: { type: "string", default: "target/soak" },
+        "keep-bundle": { type: "boolean", default: false },
+    },
+});
+const numbers = [values.seed, values.seeds, values.seconds, values.hosts].map(Number);
+const [seed = 0, seeds = 0, seconds = 0, hosts = 0] = numbers;
+if (!numbers.every(Number.isSafeInteger) || hosts < 2 || seeds < 1 || seconds < 1) {
+    process.stderr.write("--seed, --seeds, --seconds and --hosts are whole numbers, with 2 hosts or more\n");
+    process.exit(2);
+}
+if (!values["keep-bundle"]) {
+    const { status } = spawnSync(process.execPath, ["scripts/bundle/bundle.mjs"], { stdio: "inherit" });
+    if (status !== 0) {
+        process.exit(2);
+    }
+}
+
+const failed: number[] = [];
+for (const number of Array.from({ length: seeds }, (_, at) => seed + at)) {
+    const { findings, calls, served, runs, servedAgainMs, folder } = await runSoak({
+        seed: number,
+        seconds,
+        hosts,
+        folder: values.folder,
+    });
+    if (findings.length > 0) {
+        failed.push(number);
+        process.stdout.write(`${readFileSync(join(folder, "schedule.txt"), "utf8")}`);
+        findings.forEach(({ check, text }) => process.stdout.write(`FINDING ${check}: ${text}\n`));
+        process.stdout.write(`records and logs: ${folder}\n`);
+    }
+    process.stdout.write(
+        `seed ${number}: ${findings.length} findings, ${calls} calls, ${served} served, ${runs} run, all served again after ${servedAgainMs} ms\n`,
+    );
+}
+process.stdout.write(
+    `${seeds} seeds, ${failed.length} failed${failed.length > 0 ? `: ${failed.join(" ")}` : ""}\n`,
+);
+process.exit(failed.length > 0 ? 1 : 0);
--- /dev/null
+++ b/scripts/soak/checks.ts
@@ -0,0 +1,162 @@
+import { AnswerMode } from "@tanagertray/standin";
+import type { Call, DaemonLife, Run, SentSignal, SoakBoard } from "./board.js";
+import { CallKind } from "./call.js";
+import { Link } from "./faults.js";
+
+export const CheckKind = {
+    /** A success is the whole answer to the caller's own call. */
+    OwnAnswer: "ownAnswer",
+    /** A call that may not be repeated runs at most once. */
+    AtMostOnce: "atMostOnce",
+    /** What was refused as not run has not run and never runs. */
+    NotRunIsTrue: "notRunIsTrue",
+    /** A refusal names a time to come back. */
+    TimeToComeBack: "timeToComeBack",
+    /** No call is denied whose route is in every version. */
+    NoneDenied: "noneDenied",
+    /** No daemon goes back to an older version. */
+    NoOlderVersion: "noOlderVersion",
+    /** A call does not reach a backend server long after its caller has left. */
+    NoneGone: "noneGone",
+    /** A backend server gets no call when the time after its leaving has passed. */
+    LeavingGetsNoWork: "leavingGetsNoWork",
+    /** A call runs at a backend server of its service. */
+    OwnService: "ownService",
+    /** A daemon that is asked to stop cuts no call that it has read. */
+    NoneCut: "noneCut",
+    /** A daemon does not end by itself. */
+    StaysUp: "staysUp",
+    /** All services are served soon after the faults. */
+    ServedAgain: "servedAgain",
+} as const;
+export type CheckKind = (typeof CheckKind)[keyof typeof CheckKind];
+
+/** What has happened so far. */
+export interface History {
+    readonly board: SoakBoard;
+    readonly calls: ReadonlyMap<string, Call>;
+    readonly runs: ReadonlyMap<string, readonly Run[]>;
+    /** Highest version that each host served, and when the call for it was answered. */
+    readonly served: ReadonlyMap<number, { readonly version: number; readonly at: number }>;
+}
+
+/** Statuses that say that a call has not run and never will. */
+const notRun: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const returnable: ReadonlySet<number> = new Set([429, 503]);
+const deniedStatus = 404;
+/** Time after the leaving of a caller, in milliseconds. */
+const goneMs = 500;
+/** A daemon ends a call that much before its deadline, in milliseconds. */
+const deadlineMarginMs = 100;
+/** Drain time-out of backend servers, in milliseconds. */
+const drainMs = 2_000;
+
+export function versionOf({ path }: Call): number | undefined {
+    const [, version] = /^\/v(\d+)\//.exec(path) ?? [];
+    return version === undefined ? undefined : Number(version);
+}
+
+const daemonOf = ({ board }: History, { host, daemonStartedAt }: Call): DaemonLife | undefined =>
+    board.read("daemons").find(life => life.host === host && life.startedAt === daemonStartedAt);
+
+/** Judges a call that has ended, when it ends and whenever it runs afterwards. A text describes a broken promise. */
+type CallCheck = (call: Call, runs: readonly Run[], history: History) => string | undefined;
+
+export const callChecks: { readonly [K in CheckKind]?: CallCheck } = {
+    [CheckKind.OwnAnswer]: ({ status, isComplete, isOwn }) =>
+        status === 200 && isComplete && !isOwn ? "a complete answer is not that of the call" : undefined,
+    [CheckKind.AtMostOnce]: ({ kind }, runs) =>
+        kind !== CallKind.Safe && runs.length > 1 ? `ran ${runs.length} times` : undefined,
+    [CheckKind.NotRunIsTrue]: ({ status = 0 }, runs) =>
+        notRun.has(status) && runs.length > 0 ? `ran, and its caller got ${status}` : undefined,
+    [CheckKind.TimeToComeBack]: ({ status = 0, retryAfter }) =>
+        returnable.has(status) && !(Number(retryAfter) > 0) ? `${status} with "${retryAfter}"` : undefined,
+    [CheckKind.NoneDenied]: call =>
+        call.status === deniedStatus && versionOf(call) === undefined ? "its route was denied" : undefined,
+    [CheckKind.NoOlderVersion](call, _runs, { served }) {
+        const version = versionOf(call);
+        const before = served.get(call.host);
+        const isOlder = call.status === 200 && version !== undefined && version < (before?.version ?? 0);
+        return isOlder && (before?.at ?? 0) < call.sentAt
+            ? `version ${version} was served after ${before?.version}`
+            : undefined;
+    },
+    [CheckKind.NoneGone](call, runs, history) {
+        const late = runs.find(run => call.hasLeft && run.startedAt > call.endedAt + goneMs);
+        // No daemon can call back bytes that a relay or the socket of a paused backend server holds.
+        return late === undefined || wasDisturbed(call, late, history)
+            ? undefined
+            : `reached ${late.server} ${late.startedAt - call.endedAt} ms after its caller had left`;
+    },
+    [CheckKind.NoneCut](call, runs, history) {
+        const { signals = [] } = daemonOf(history, call) ?? {};
+        const asked = signals.find(({ name }) => name === "SIGTERM");
+        // A process that was paused or killed as well made no promise.
+        const isAlone = signals.every(({ name }) => name === "SIGTERM");
+        const isEnded = call.endedAt - call.sentAt >= call.deadlineMs - deadlineMarginMs;
+        // What the backend server or a connection to it breaks is not cut by the daemon.
+        const isBroken = runs.some(run => run.mode !== AnswerMode.Whole || wasDisturbed(call, run, history));
+        return asked !== undefined &&
+            isAlone &&
+            call.error !== undefined &&
+            runs.length > 0 &&
+            !isEnded &&
+            !isBroken
+            ? `${call.error}, ${call.endedAt - asked.at} ms after its daemon was asked to stop`
+            : undefined;
+    },
+};
+
+/** Whether the backend server of a run, its daemon or a connection to one of them failed during the call. */
+function wasDisturbed(call: Call, run: Run, { board }: History): boolean {
+    const to = Math.max(run.startedAt, call.endedAt);
+    const links: readonly Link[] = [Link.Peer, Link.Server];
+    const isHeld = board
+        .read("disturbances")
+        .some(
+            held =>
+                held.host === run.host &&
+                links.includes(held.link) &&
+                held.from <= to &&
+                held.to >= call.sentAt,
+        );
+    const { signals = [] } = board.read("servers").findLast(({ id }) => id === run.server) ?? {};
+    return isHeld || wasHit(signals, call.sentAt, to);
+}
+
+/** Whether a process was paused or ended in this time. */
+function wasHit(signals: readonly SentSignal[], from: number, to: number): boolean {
+    return signals.some(({ name, at }, place) => {
+        const resumed = signals.slice(place + 1).find(later => later.name === "SIGCONT")?.at ?? Infinity;
+        const until = name === "SIGSTOP" ? resumed : at;
+        return name !== "SIGCONT" && at <= to && until >= from;
+    });
+}
+
+type RunCheck = (run: Run, history: History) => string | undefined;
+
+export const runChecks: { readonly [K in CheckKind]?: RunCheck } = {
+    [CheckKind.LeavingGetsNoWork](run, { board }) {
+        const { leftAt } = board.read("servers").findLast(({ id }) => id === run.server) ?? {};
+        return leftAt !== undefined && run.startedAt > leftAt + drainMs
+            ? `began at ${run.server} ${run.startedAt - leftAt} ms after its leaving was acknowledged`
+            : undefined;
+    },
+    [CheckKind.OwnService]: ({ url, service, server }) =>
+        /^\/v\d/.test(url) || url.split("/")[1]?.endsWith(`-${service}`)
+            ? undefined
+            : `${url} ran at ${server} of ${service}`,
+};
+
+type DaemonCheck = (life: DaemonLife) => string | undefined;
+
+export const daemonChecks: { readonly [K in CheckKind]?: DaemonCheck } = {
+    [CheckKind.StaysUp]({ exit, signals }) {
+        if (exit === undefined) {
+            return undefined;
+        }
+        const wasKilled = exit.signal === "SIGKILL" && signals.some(({ name }) => name === "SIGKILL");
+        const wasStopped = exit.code === 0 && signals.some(({ name }) => name === "SIGTERM");
+        return wasKilled || wasStopped ? undefined : `ended with ${exit.code ?? exit.signal}`;
+    },
+};
--- /dev/null
+++ b/scripts/soak/store.ts
@@ -0,0 +1,43 @@
+import { createOperatorRow, StoreFault, type StoreFaults } from "@tanagertray/standin";
+import type { SoakBoard } from "./board.js";
+import { CallKind, routeTimeoutMs } from "./call.js";
+import { FaultKind, followFaults, StoreDelay, type Fault } from "./faults.js";
+import type { Site } from "./site.js";
+
+const healthy: StoreFaults = { fault: StoreFault.None, delayMs: 0, staleTransactions: 0 };
+const delays: Readonly<Record<string, Partial<StoreFaults>>> = {
+    [StoreDelay.Slow]: { delayMs: 700 },
+    [StoreDelay.Stale]: { staleTransactions: 3 },
+};
+
+/** Writes the versions of the operator, and disturbs the addresses of the store. */
+export function createStoreFaults(board: SoakBoard, { store, places, services }: Site): void {
+    const version = board.claimValue("version");
+
+    function putVersion(): void {
+        const number = board.read("version") + 1;
+        const kinds = Object.values(CallKind);
+        store.put(
+            "op",
+            "config",
+            createOperatorRow({ version: number, services, kinds, timeoutMs: routeTimeoutMs, marked: true }),
+        );
+        version.write(number);
+    }
+
+    const setFaults = ({ hosts }: Fault, faults: StoreFaults) =>
+        hosts.forEach(host => places[host]?.door.setFaults(faults));
+
+    followFaults(board, {
+        [FaultKind.Store]: {
+            begin: fault =>
+                setFaults(fault, {
+                    ...healthy,
+                    ...(delays[fault.detail] ?? { fault: fault.detail as StoreFault }),
+                }),
+            end: fault => setFaults(fault, healthy),
+        },
+        [FaultKind.ChangeConfiguration]: { begin: putVersion },
+    });
+    putVersion();
+}
