--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -13,3 +13,4 @@
 export * from "./site/siteRun.js";
 export * from "./site/siteRun.js";
 export * from "./site/runBody.js";
+export * from "./stalls.js";
--- a/packages/standin/src/site/siteRun.ts
+++ b/packages/standin/src/site/siteRun.ts
@@ -73,6 +73,8 @@
     /** SHA-256 of the body of the call, in hexadecimal; empty when it was not read. */
     readonly hash: string;
     readonly startedAt: number;
+    /** Time of the last seconds in which the backend server's process did not run, in milliseconds. */
+    readonly stalledMs: number;
     /** How it is answered. */
     readonly mode: AnswerMode;
     /** The connection closed before the answer was sent. */
--- a/packages/standin/src/site/siteServer.ts
+++ b/packages/standin/src/site/siteServer.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { request as send } from "undici";
+import { createStalls, type Stalls } from "../stalls.js";
 import { answers, takeRefusal } from "./siteAnswers.js";
 import { AnswerMode, type SiteRun } from "./siteRun.js";
 
@@ -57,6 +58,7 @@
     readonly runs: SiteRun[];
     arrivals: number;
     running: number;
+    readonly stalls: Stalls;
     mode: AnswerMode;
     workMs: number;
     state: "ready" | "draining";
@@ -91,6 +93,7 @@
         runs: [],
         arrivals: 0,
         running: 0,
+        stalls: createStalls(),
         mode: AnswerMode.Whole,
         workMs: resolved.workMs,
         state: "ready",
@@ -125,6 +128,7 @@
         announce,
         async close() {
             clearInterval(timer);
+            state.stalls.close();
             server.closeAllConnections();
             await new Promise<void>(resolve => server.close(() => resolve()));
         },
@@ -185,6 +189,7 @@
         bodyBytes: body.bytes,
         hash: body.hash,
         startedAt: Date.now(),
+        stalledMs: state.stalls.recentMs(),
         mode,
         cancelled: false,
     };
--- a/packages/standin/src/siteServerMain.ts
+++ b/packages/standin/src/siteServerMain.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 import { parseArgs } from "node:util";
-import type { AnswerMode } from "./site/siteRun.js";
+import type { AnswerMode, SiteRun } from "./site/siteRun.js";
 import { startSiteServer } from "./site/siteServer.js";
 
 /** What the parent process asks of this one over the channel between them. */
@@ -9,16 +9,13 @@
     readonly mode?: AnswerMode;
 }
 
+/** What this process reports of a call that begins to run. */
+export type ReportedRun = Pick<SiteRun, "id" | "url" | "startedAt" | "stalledMs" | "mode">;
+
 /** What this process reports over the channel. */
 export type SiteServerReport =
     | { readonly event: "started"; readonly address: string }
-    | {
-          readonly event: "run";
-          readonly id: string;
-          readonly url: string;
-          readonly startedAt: number;
-          readonly mode: AnswerMode;
-      }
+    | ({ readonly event: "run" } & ReportedRun)
     | { readonly event: "acknowledged"; readonly status: number; readonly at: number };
 
 const { values } = parseArgs({
@@ -49,7 +46,8 @@
     slots: Number(values.slots),
     announced: values.announced,
     checksInstance: values["checks-instance"],
-    onRun: ({ id, url, startedAt, mode }) => report({ event: "run", id, url, startedAt, mode }),
+    onRun: ({ id, url, startedAt, stalledMs, mode }) =>
+        report({ event: "run", id, url, startedAt, stalledMs, mode }),
 });
 report({ event: "started", address: server.address });
 
--- a/scripts/soak/board.ts
+++ b/scripts/soak/board.ts
@@ -1,5 +1,6 @@
 import { createBlackboard, type Blackboard, type Feed, type Value } from "@tanagertray/core";
-import type { AnswerMode, DaemonExit, SiteDaemon } from "@tanagertray/standin";
+import type { DaemonExit, SiteDaemon } from "@tanagertray/standin";
+import type { ReportedRun } from "@tanagertray/standin/siteServerMain";
 import type { ChildProcess } from "node:child_process";
 import type { CallPlan } from "./call.js";
 import type { CheckKind } from "./checks.js";
@@ -28,6 +29,8 @@
 
 /** One process of the backend server of a host. */
 export interface ServerLife {
+    /** Tells processes under one id apart. */
+    readonly life: number;
     readonly host: number;
     readonly id: string;
     readonly service: string;
@@ -59,16 +62,15 @@
 }
 
 /** A call that began to run at a backend server. */
-export interface Run {
-    readonly id: string;
-    readonly url: string;
-    readonly startedAt: number;
-    /** How the backend server answers it. */
-    readonly mode: AnswerMode;
-    /** Host at whose address the backend server was reached. */
+export interface Run extends ReportedRun {
+    readonly life: number;
+    /** Host of the backend server, and the host whose address it has. */
     readonly host: number;
+    readonly addressHost: number;
     readonly server: string;
     readonly service: string;
+    /** The same of the process of the relays, if the call passed one. */
+    readonly relaysStalledMs: number;
 }
 
 /** Time in which a relay held bytes back. */
--- a/scripts/soak/checking.ts
+++ b/scripts/soak/checking.ts
@@ -77,7 +77,7 @@
         board
             .read("daemons")
             .forEach(life =>
-                apply(daemonChecks, `daemon of h${life.host}, started at ${life.startedAt}`, life),
+                apply(daemonChecks, `daemon of h${life.host}, started at ${life.startedAt}`, life, history),
             ),
     );
     return { calls, runs, report };
--- a/scripts/soak/checks.ts
+++ b/scripts/soak/checks.ts
@@ -42,6 +42,8 @@
 
 /** Statuses that say that a call has not run and never will. */
 const notRun: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Answers whose body ends with the connection. */
+const unframed: ReadonlySet<AnswerMode> = new Set([AnswerMode.EndlessBody, AnswerMode.UnframedReset]);
 const returnable: ReadonlySet<number> = new Set([429, 503]);
 const deniedStatus = 404;
 /** Time after the leaving of a caller, in milliseconds. */
@@ -63,8 +65,13 @@
 type CallCheck = (call: Call, runs: readonly Run[], history: History) => string | undefined;
 
 export const callChecks: { readonly [K in CheckKind]?: CallCheck } = {
-    [CheckKind.OwnAnswer]: ({ status, isComplete, isOwn }) =>
-        status === 200 && isComplete && !isOwn ? "a complete answer is not that of the call" : undefined,
+    [CheckKind.OwnAnswer](call, runs, history) {
+        // A backend server that ends while it writes a body without a length ends that body as HTTP/1.1 says.
+        const isEnded = runs.some(run => unframed.has(run.mode) && serverFailed(call, run, history));
+        return call.status === 200 && call.isComplete && !call.isOwn && !isEnded
+            ? "a complete answer is not that of the call"
+            : undefined;
+    },
     [CheckKind.AtMostOnce]: ({ kind }, runs) =>
         kind !== CallKind.Safe && runs.length > 1 ? `ran ${runs.length} times` : undefined,
     [CheckKind.NotRunIsTrue]: ({ status = 0 }, runs) =>
@@ -82,11 +89,13 @@
             : undefined;
     },
     [CheckKind.NoneGone](call, runs, history) {
-        const late = runs.find(run => call.hasLeft && run.startedAt > call.endedAt + goneMs);
-        // No daemon can call back bytes that a relay or the socket of a paused backend server holds.
-        return late === undefined || wasDisturbed(call, late, history)
+        const late = runs
+            .map(run => ({ run, lateMs: sentBefore(run) - call.endedAt }))
+            .find(({ lateMs }) => call.hasLeft && lateMs > goneMs);
+        // No daemon can call back bytes that a relay holds.
+        return late === undefined || wasHeldBack(call, late.run, history)
             ? undefined
-            : `reached ${late.server} ${late.startedAt - call.endedAt} ms after its caller had left`;
+            : `reached ${late.run.server} ${late.lateMs} ms after its caller had left`;
     },
     [CheckKind.NoneCut](call, runs, history) {
         const { signals = [] } = daemonOf(history, call) ?? {};
@@ -95,7 +104,12 @@
         const isAlone = signals.every(({ name }) => name === "SIGTERM");
         const isEnded = call.endedAt - call.sentAt >= call.deadlineMs - deadlineMarginMs;
         // What the backend server or a connection to it breaks is not cut by the daemon.
-        const isBroken = runs.some(run => run.mode !== AnswerMode.Whole || wasDisturbed(call, run, history));
+        const isBroken = runs.some(
+            run =>
+                run.mode !== AnswerMode.Whole ||
+                wasHeldBack(call, run, history) ||
+                serverFailed(call, run, history),
+        );
         return asked !== undefined &&
             isAlone &&
             call.error !== undefined &&
@@ -107,21 +121,32 @@
     },
 };
 
-/** Whether the backend server of a run, its daemon or a connection to one of them failed during the call. */
-function wasDisturbed(call: Call, run: Run, { board }: History): boolean {
-    const to = Math.max(run.startedAt, call.endedAt);
-    const links: readonly Link[] = [Link.Peer, Link.Server];
-    const isHeld = board
+/** The earliest time at which a call may have reached its backend server, whose process may not have run since. */
+function sentBefore({ startedAt, stalledMs, relaysStalledMs }: Run): number {
+    return startedAt - stalledMs - relaysStalledMs;
+}
+
+/** Whether a relay before the daemon or the backend server of a run held bytes during the call. */
+function wasHeldBack(call: Call, { host, addressHost, startedAt }: Run, { board }: History): boolean {
+    const hosts: Readonly<Record<Link, number | undefined>> = {
+        [Link.Peer]: host,
+        [Link.Server]: addressHost,
+        [Link.Store]: undefined,
+    };
+    return board
         .read("disturbances")
         .some(
             held =>
-                held.host === run.host &&
-                links.includes(held.link) &&
-                held.from <= to &&
+                hosts[held.link] === held.host &&
+                held.from <= Math.max(startedAt, call.endedAt) &&
                 held.to >= call.sentAt,
         );
-    const { signals = [] } = board.read("servers").findLast(({ id }) => id === run.server) ?? {};
-    return isHeld || wasHit(signals, call.sentAt, to);
+}
+
+/** Whether the backend server of a run was paused or ended during the call. */
+function serverFailed(call: Call, run: Run, { board }: History): boolean {
+    const { signals = [] } = board.read("servers").find(({ life }) => life === run.life) ?? {};
+    return wasHit(signals, call.sentAt, Math.max(run.startedAt, call.endedAt));
 }
 
 /** Whether a process was paused or ended in this time. */
@@ -137,9 +162,9 @@
 
 export const runChecks: { readonly [K in CheckKind]?: RunCheck } = {
     [CheckKind.LeavingGetsNoWork](run, { board }) {
-        const { leftAt } = board.read("servers").findLast(({ id }) => id === run.server) ?? {};
-        return leftAt !== undefined && run.startedAt > leftAt + drainMs
-            ? `began at ${run.server} ${run.startedAt - leftAt} ms after its leaving was acknowledged`
+        const { leftAt } = board.read("servers").find(({ life }) => life === run.life) ?? {};
+        return leftAt !== undefined && sentBefore(run) > leftAt + drainMs
+            ? `began at ${run.server} ${sentBefore(run) - leftAt} ms after its leaving was acknowledged`
             : undefined;
     },
     [CheckKind.OwnService]: ({ url, service, server }) =>
@@ -148,15 +173,20 @@
             : `${url} ran at ${server} of ${service}`,
 };
 
-type DaemonCheck = (life: DaemonLife) => string | undefined;
+type DaemonCheck = (life: DaemonLife, history: History) => string | undefined;
 
 export const daemonChecks: { readonly [K in CheckKind]?: DaemonCheck } = {
-    [CheckKind.StaysUp]({ exit, signals }) {
+    [CheckKind.StaysUp]({ exit, signals, host, startedAt }, { calls }) {
         if (exit === undefined) {
             return undefined;
         }
         const wasKilled = exit.signal === "SIGKILL" && signals.some(({ name }) => name === "SIGKILL");
-        const wasStopped = exit.code === 0 && signals.some(({ name }) => name === "SIGTERM");
+        const wasAsked = signals.some(({ name }) => name === "SIGTERM");
+        const hasAnswered = [...calls.values()].some(
+            call => call.host === host && call.daemonStartedAt === startedAt && call.status !== undefined,
+        );
+        // Before the program runs, the system ends the process.
+        const wasStopped = wasAsked && (exit.code === 0 || (exit.signal === "SIGTERM" && !hasAnswered));
         return wasKilled || wasStopped ? undefined : `ended with ${exit.code ?? exit.signal}`;
     },
 };
--- a/scripts/soak/schedule.ts
+++ b/scripts/soak/schedule.ts
@@ -15,6 +15,8 @@
 const seriesGapMs = 120;
 /** Least and greatest time between other faults, in milliseconds. */
 const gapMs = [100, 1_200] as const;
+/** Least and greatest factor of these times in a seed. */
+const paceRange = [1, 4] as const;
 /** Share of the seeds in which all hosts lose power at the end. */
 const powerLossShare = 0.3;
 
@@ -31,6 +33,7 @@
         .map(host => ({ host, place: random() }))
         .sort((a, b) => a.place - b.place)
         .map(({ host }) => host);
+    const pace = paceRange[0] + random() * (paceRange[1] - paceRange[0]);
     const relayed = shuffled.slice(0, Math.ceil(hosts / 2));
 
     const pick = <T>(items: readonly T[]): T => items[Math.floor(random() * items.length)] as T;
@@ -67,7 +70,7 @@
     for (
         let at = 0;
         at < seconds * 1_000;
-        at += random() < seriesShare ? between([0, seriesGapMs]) : between(gapMs)
+        at += random() < seriesShare ? between([0, seriesGapMs]) : Math.round(pace * between(gapMs))
     ) {
         faults.push(createFault(at, ...pickKind()));
     }
--- a/scripts/soak/servers.ts
+++ b/scripts/soak/servers.ts
@@ -1,5 +1,6 @@
 import type { SiteServerCommand, SiteServerReport } from "@tanagertray/standin/siteServerMain";
-import { fork } from "node:child_process";
+import { createStalls } from "@tanagertray/standin";
+import { fork, type ChildProcess } from "node:child_process";
 import { once } from "node:events";
 import type { ServerLife, SoakBoard } from "./board.js";
 import type { Processes } from "./daemons.js";
@@ -20,6 +21,7 @@
     const next = new Map<number, { readonly downMs: number; readonly id?: string }>();
     /** Host whose address the backend server of a host has. */
     const addresses = new Map(places.map(({ host }) => [host, host]));
+    const stalls = createStalls();
     let count = 0;
     let closed = false;
 
@@ -29,30 +31,27 @@
         );
     }
 
-    function start({ host, service, daemonAddresses }: Place): void {
+    function start(place: Place): void {
         if (closed) {
             return;
         }
+        const { host, service } = place;
         const at = places[addresses.get(host) ?? host] as Place;
-        const id = next.get(host)?.id ?? `i-${host}-${(count += 1)}`;
-        const announced = reachedAt(at, Link.Server, `127.0.0.1:${at.serverPort}`);
-        const process = fork(program, [
-            ...["--id", id, "--service", service, "--daemon", daemonAddresses[3], "--checks-instance"],
-            ...["--port", String(at.serverPort), "--announced", announced],
-            ...["--work-ms", String(workMs), "--slots", String(slots)],
-        ]);
-        servers.update(before => [
-            ...before,
-            { host, id, service, process, signals: [], hasEnded: false, isLeaving: false },
-        ]);
+        const life = (count += 1);
+        const id = next.get(host)?.id ?? `i-${host}-${life}`;
+        const process = forkServer(place, at, id);
+        const added = { life, host, id, service, process, signals: [], hasEnded: false, isLeaving: false };
+        servers.update(before => [...before, added]);
         next.delete(host);
+        const whence = { life, host, addressHost: at.host, server: id, service };
+        const isRelayed = at.relays.size + place.relays.size > 0;
         const reports = {
             started: () => {},
-            run: ({ id: call, url, startedAt, mode }) =>
-                runs.append({ id: call, url, startedAt, mode, host: at.host, server: id, service }),
+            run: ({ event: _event, ...run }) =>
+                runs.append({ ...run, ...whence, relaysStalledMs: isRelayed ? stalls.recentMs() : 0 }),
             acknowledged: ({ status, at: leftAt }) => {
-                const life = board.read("servers").find(other => other.process === process);
-                if (status === 200 && life?.isLeaving === true && life.leftAt === undefined) {
+                const now = board.read("servers").find(other => other.process === process);
+                if (status === 200 && now?.isLeaving === true && now.leftAt === undefined) {
                     change(process, { leftAt });
                 }
             },
@@ -60,7 +59,7 @@
         process.on("message", (report: SiteServerReport) => reports[report.event](report as never));
         process.once("exit", () => {
             change(process, { hasEnded: true });
-            setTimeout(() => start(places[host] as Place), next.get(host)?.downMs ?? 0);
+            setTimeout(() => start(place), next.get(host)?.downMs ?? 0);
         });
     }
 
@@ -107,6 +106,7 @@
     return {
         async close() {
             closed = true;
+            stalls.close();
             const alive = board.read("servers").filter(({ hasEnded }) => !hasEnded);
             await Promise.all(
                 alive.map(({ process }) => {
@@ -118,3 +118,13 @@
         },
     };
 }
+
+/** Starts a backend server of one host at the address of the same or another one. */
+function forkServer({ service, daemonAddresses }: Place, at: Place, id: string): ChildProcess {
+    const announced = reachedAt(at, Link.Server, `127.0.0.1:${at.serverPort}`);
+    return fork(program, [
+        ...["--id", id, "--service", service, "--daemon", daemonAddresses[3], "--checks-instance"],
+        ...["--port", String(at.serverPort), "--announced", announced],
+        ...["--work-ms", String(workMs), "--slots", String(slots)],
+    ]);
+}
