--- a/scripts/soak/board.ts
+++ b/scripts/soak/board.ts
@@ -25,6 +25,7 @@
     readonly process: SiteDaemon;
     readonly signals: readonly SentSignal[];
     readonly exit?: DaemonExit;
+    readonly endedAt?: number;
 }
 
 /** One process of the backend server of a host. */
--- a/scripts/soak/call.ts
+++ b/scripts/soak/call.ts
@@ -24,6 +24,8 @@
     /** Bytes of the answer's body. */
     readonly size: number;
     readonly bodyBytes: number;
+    /** The body has no length in the head. */
+    readonly isChunked: boolean;
     /** SHA-256 of the body, in hexadecimal. */
     readonly hash: string;
     readonly deadlineMs: number;
@@ -85,7 +87,9 @@
                 host: siteHostName,
                 "x-attempt-id": plan.id,
                 "x-request-deadline": String(plan.deadlineMs),
-                ...(plan.kind === CallKind.Safe ? {} : { "content-length": plan.bodyBytes }),
+                ...(plan.isChunked
+                    ? { "transfer-encoding": "chunked" }
+                    : { "content-length": plan.bodyBytes }),
             },
         });
         const timer = setTimeout(() => {
--- a/scripts/soak/checks.ts
+++ b/scripts/soak/checks.ts
@@ -46,6 +46,9 @@
 const unframed: ReadonlySet<AnswerMode> = new Set([AnswerMode.EndlessBody, AnswerMode.UnframedReset]);
 const returnable: ReadonlySet<number> = new Set([429, 503]);
 const deniedStatus = 404;
+const lostStatus = 502;
+/** Time for which connections may carry what a backend server wrote before, in milliseconds. */
+const faultyMs = 2_000;
 /** Time after the leaving of a caller, in milliseconds. */
 const goneMs = 500;
 /** A daemon ends a call that much before its deadline, in milliseconds. */
@@ -58,9 +61,6 @@
     return version === undefined ? undefined : Number(version);
 }
 
-const daemonOf = ({ board }: History, { host, daemonStartedAt }: Call): DaemonLife | undefined =>
-    board.read("daemons").find(life => life.host === host && life.startedAt === daemonStartedAt);
-
 /** Judges a call that has ended, when it ends and whenever it runs afterwards. A text describes a broken promise. */
 type CallCheck = (call: Call, runs: readonly Run[], history: History) => string | undefined;
 
@@ -98,29 +98,47 @@
             : `reached ${late.run.server} ${late.lateMs} ms after its caller had left`;
     },
     [CheckKind.NoneCut](call, runs, history) {
-        const { signals = [] } = daemonOf(history, call) ?? {};
-        const asked = signals.find(({ name }) => name === "SIGTERM");
+        const isCut = call.error !== undefined || call.status === lostStatus;
+        const isOver = call.endedAt - call.sentAt >= call.deadlineMs - deadlineMarginMs;
+        if (!isCut || isOver || runs.length === 0) {
+            return undefined;
+        }
+        const daemons = [call, ...runs].flatMap(({ host }) => daemonsDuring(history, host, call));
+        const signals = daemons.flatMap(life => life.signals);
+        const asked = signals.find(({ name, at }) => name === "SIGTERM" && at <= call.endedAt);
         // A process that was paused or killed as well made no promise.
         const isAlone = signals.every(({ name }) => name === "SIGTERM");
-        const isEnded = call.endedAt - call.sentAt >= call.deadlineMs - deadlineMarginMs;
         // What the backend server or a connection to it breaks is not cut by the daemon.
         const isBroken = runs.some(
             run =>
-                run.mode !== AnswerMode.Whole ||
+                wasFaulty(run, history) ||
                 wasHeldBack(call, run, history) ||
                 serverFailed(call, run, history),
         );
-        return asked !== undefined &&
-            isAlone &&
-            call.error !== undefined &&
-            runs.length > 0 &&
-            !isEnded &&
-            !isBroken
-            ? `${call.error}, ${call.endedAt - asked.at} ms after its daemon was asked to stop`
+        return asked !== undefined && isAlone && !isBroken
+            ? `${call.error ?? call.status}, ${call.endedAt - asked.at} ms after a daemon on its way was asked to stop`
             : undefined;
     },
 };
 
+/** Processes of the host's daemon that ran during a call. */
+function daemonsDuring({ board }: History, host: number, { sentAt, endedAt }: Call): readonly DaemonLife[] {
+    const lives = board.read("daemons").filter(life => life.host === host && life.startedAt <= endedAt);
+    return lives.filter(({ endedAt: end = Infinity }) => end >= sentAt);
+}
+
+/** Whether the backend server of a run answered in another way then or shortly before, also on kept connections. */
+function wasFaulty({ life, startedAt }: Run, { runs }: History): boolean {
+    return [...runs.values()]
+        .flat()
+        .some(
+            run =>
+                run.life === life &&
+                run.mode !== AnswerMode.Whole &&
+                Math.abs(startedAt - run.startedAt) < faultyMs,
+        );
+}
+
 /** The earliest time at which a call may have reached its backend server, whose process may not have run since. */
 function sentBefore({ startedAt, stalledMs, relaysStalledMs }: Run): number {
     return startedAt - stalledMs - relaysStalledMs;
--- a/scripts/soak/clients.ts
+++ b/scripts/soak/clients.ts
@@ -14,6 +14,8 @@
 const mediumBytes = 60_000;
 /** Largest body, in bytes. */
 const largeBytes = 3_000_000;
+/** Share of the uploads that are sent in chunks, without a length. */
+const chunkedShare = 0.3;
 const content = randomBytes(largeBytes);
 
 type Weights<T> = readonly (readonly [T, number])[];
@@ -67,6 +69,7 @@
             path: "",
             manner: Manner.Stay,
             size: smallBytes,
+            isChunked: false,
             hash: createHash("sha256").update(body).digest("hex"),
             deadlineMs: 1_200,
             leaveAfterMs: 0,
@@ -93,6 +96,7 @@
                 kind,
                 path: `/${kind}-${service}/x`,
                 manner: pick(manners),
+                isChunked: kind === CallKind.Upload && random() < chunkedShare,
                 size: kind === CallKind.Upload ? smallBytes : pick(sizes),
                 bodyBytes: pick(bodyBytes[kind] as Weights<number>),
                 deadlineMs: Math.round(500 + random() * 1_000),
--- a/scripts/soak/daemons.ts
+++ b/scripts/soak/daemons.ts
@@ -44,7 +44,7 @@
         const startedAt = Date.now();
         daemons.update(before => [...before, { host, startedAt, process, signals: [] }]);
         void process.exited.then(exit => {
-            change(startedAt, host, () => ({ exit }));
+            change(startedAt, host, () => ({ exit, endedAt: Date.now() }));
             setTimeout(() => start(place), downMs.get(host) ?? 0);
         });
     }
