fix(standin): the relay passes a reset right behind the last bytes on as a reset

The event loop reports a reset that comes together with data as an end, and the relay ended the other side cleanly, which is the end of such a body. Change: an end without a peer is passed on as a reset. Conclusion: a fault of the stand-in, not of the daemon.

--- a/packages/standin/features/relay.feature
+++ b/packages/standin/features/relay.feature
@@ -28,3 +28,10 @@
         When the relay stand-in delays bytes by 40 ms and the connection sends 3 numbered chunks
         Then the echo of the 3 numbered chunks arrives in order after at least 80 ms
         And the relay stand-in counted the bytes of both directions
+
+    # Guards against a reset that arrives as a clean end, which a receiver takes for the end of a body without a length.
+    # The event loop reports a reset that comes together with data as an end, in the relay as in the receiver.
+    Scenario: A reset right behind the last bytes is passed on as a reset
+        Given a relay stand-in in front of a server that resets each connection 20 ms after 3000000 bytes
+        When 60 connections through the relay stand-in read what they get
+        Then each of these connections was reset
--- a/packages/standin/features/steps/relay.ts
+++ b/packages/standin/features/steps/relay.ts
@@ -11,6 +11,8 @@
     open: Connection;
     opened: Connection[];
     sentAt: number;
+    /** Connections that ended without a reset. */
+    cleanEnds: number;
 }
 
 interface Connection {
@@ -157,3 +159,35 @@
     const { bytesToTarget, bytesFromTarget, openConnections } = (this.relay as Relay).counters();
     assert.deepEqual([bytesToTarget, bytesFromTarget, openConnections], [bytes, bytes, 1]);
 });
+
+Given(
+    "a relay stand-in in front of a server that resets each connection {int} ms after {int} bytes",
+    async function (this: World, ms: number, bytes: number) {
+        this.opened = [];
+        this.echo = createServer(socket => {
+            socket.on("error", () => socket.destroy());
+            socket.write(Buffer.alloc(bytes));
+            setTimeout(() => socket.resetAndDestroy(), ms);
+        });
+        this.echo.listen(0, "127.0.0.1");
+        await once(this.echo, "listening");
+        this.relay = await startRelay({ target: `127.0.0.1:${(this.echo.address() as AddressInfo).port}` });
+    },
+);
+
+When(
+    "{int} connections through the relay stand-in read what they get",
+    { timeout: 30_000 },
+    async function (this: World, count: number) {
+        this.cleanEnds = 0;
+        for (let at = 0; at < count; at += 1) {
+            const { socket } = openThrough(this);
+            socket.once("end", () => (this.cleanEnds += socket.remoteAddress === undefined ? 0 : 1));
+            await new Promise(resolve => socket.once("close", resolve));
+        }
+    },
+);
+
+Then("each of these connections was reset", function (this: World) {
+    assert.equal(this.cleanEnds, 0);
+});
--- a/packages/standin/src/relay/direction.ts
+++ b/packages/standin/src/relay/direction.ts
@@ -61,7 +61,12 @@
         note(chunk.length);
         hold(() => write(chunk));
     });
-    from.on("end", () => hold(() => to.end()));
+    from.on("end", () => {
+        // The event loop reports a reset that comes together with data as an end; only a connection that was not reset
+        // still has a peer.
+        const isReset = from.remoteAddress === undefined;
+        hold(() => void (isReset ? to.resetAndDestroy() : to.end()));
+    });
     from.on("error", () => to.resetAndDestroy());
     from.on("close", () => {
         if (to.destroyed) {
