test(soak): backend servers with too few slots; an interrupted run leaves no process

Cause: no seed made calls wait or be refused for want of slots; a soak ended by a signal left its daemons behind. Change: half of the seeds have 2 slots and 150 ms of work at each backend server. All is served again when each service was served once through each host, because few slots cannot serve all at once. Daemons end with the soak.

--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -5,6 +5,9 @@
 import { parseArgs } from "node:util";
 import { runSoak } from "./soak/run.js";
 
+/** Exit code after SIGINT or SIGTERM. */
+const interruptedCode = 130;
+
 const { values } = parseArgs({
     options: {
         seed: { type: "string", default: "1" },
@@ -28,6 +31,9 @@
     }
 }
 
+// The exit ends the processes of a run that is interrupted.
+["SIGINT", "SIGTERM"].forEach(name => process.once(name, () => process.exit(interruptedCode)));
+
 const failed: number[] = [];
 for (const number of Array.from({ length: seeds }, (_, at) => seed + at)) {
     const { findings, calls, served, runs, servedAgainMs, folder } = await runSoak({
--- a/scripts/soak/board.ts
+++ b/scripts/soak/board.ts
@@ -22,7 +22,7 @@
 export interface DaemonLife {
     readonly host: number;
     readonly startedAt: number;
-    readonly process: SiteDaemon;
+    readonly daemon: SiteDaemon;
     readonly signals: readonly SentSignal[];
     readonly exit?: DaemonExit;
     readonly endedAt?: number;
@@ -47,8 +47,6 @@
 /** A call that has ended at its client. */
 export interface Call extends CallPlan {
     readonly host: number;
-    /** Start of the daemon's process, which tells its processes apart. */
-    readonly daemonStartedAt: number;
     readonly sentAt: number;
     readonly endedAt: number;
     /** The client closed the connection before the end of the answer. */
--- a/scripts/soak/call.ts
+++ b/scripts/soak/call.ts
@@ -33,14 +33,15 @@
     readonly leaveAfterMs: number;
 }
 
-export interface Connection {
+export interface CallOptions {
+    readonly body: Buffer;
     /** `address:port` of the daemon. */
     readonly address: string;
     /** `false` opens a connection for the call. */
     readonly agent: Agent | false;
 }
 
-type CallEnd = Omit<Call, "host" | "daemonStartedAt">;
+type CallEnd = Omit<Call, "host">;
 type Mutable<T> = { -readonly [K in keyof T]: T[K] };
 
 const leaveAfterMs = {
@@ -59,7 +60,7 @@
 } satisfies Record<Manner, (response: IncomingMessage) => void>;
 
 /** Makes a call and says how it ended for its client. */
-export function makeCall(plan: CallPlan, body: Buffer, { address, agent }: Connection): Promise<CallEnd> {
+export function makeCall(plan: CallPlan, { body, address, agent }: CallOptions): Promise<CallEnd> {
     const end: Mutable<CallEnd> = {
         ...plan,
         sentAt: Date.now(),
--- a/scripts/soak/checks.ts
+++ b/scripts/soak/checks.ts
@@ -201,7 +201,7 @@
         const wasKilled = exit.signal === "SIGKILL" && signals.some(({ name }) => name === "SIGKILL");
         const wasAsked = signals.some(({ name }) => name === "SIGTERM");
         const hasAnswered = [...calls.values()].some(
-            call => call.host === host && call.daemonStartedAt === startedAt && call.status !== undefined,
+            call => call.host === host && call.sentAt >= startedAt && call.status !== undefined,
         );
         // Before the program runs, the system ends the process.
         const wasStopped = wasAsked && (exit.code === 0 || (exit.signal === "SIGTERM" && !hasAnswered));
--- a/scripts/soak/clients.ts
+++ b/scripts/soak/clients.ts
@@ -4,7 +4,6 @@
 import { createRandom } from "../bench/random.js";
 import { Phase, type Call, type SoakBoard } from "./board.js";
 import { CallKind, makeCall, Manner, type CallPlan } from "./call.js";
-import { livingDaemon } from "./daemons.js";
 import type { Place, Site } from "./site.js";
 
 const clientsPerHost = 3;
@@ -45,8 +44,8 @@
 } satisfies Record<CallKind, Weights<number>>;
 
 export interface Clients {
-    /** Calls every service through every host once; `true` when all were answered. */
-    callAll(): Promise<boolean>;
+    /** Calls every service and the newest route through every host until each was served, or for that time. */
+    serveAll(limitMs: number): Promise<{ readonly ms: number; readonly unserved: readonly string[] }>;
     /** Resolves when the last call has ended. */
     close(): Promise<void>;
 }
@@ -75,9 +74,8 @@
             leaveAfterMs: 0,
             ...sent,
         };
-        const daemonStartedAt = livingDaemon(board, place.host)?.startedAt ?? 0;
-        const end = await makeCall(plan, body, { address: place.daemonAddresses[0], agent });
-        const ended = { ...end, host: place.host, daemonStartedAt };
+        const end = await makeCall(plan, { body, agent, address: place.daemonAddresses[0] });
+        const ended = { ...end, host: place.host };
         calls.append(ended);
         return ended;
     }
@@ -122,11 +120,25 @@
         askVersion(place),
     ]);
     return {
-        async callAll() {
-            const newest = { path: `/v${board.read("version")}/x` };
-            const plans = [newest, ...services.map(service => ({ path: `/safe-${service}/x` }))];
-            const round = places.flatMap(place => plans.map(plan => call(place, plan, false)));
-            return (await Promise.all(round)).every(({ status, isOwn }) => status === 200 && isOwn);
+        async serveAll(limitMs) {
+            const from = performance.now();
+            const paths = [`/v${board.read("version")}/x`, ...services.map(service => `/safe-${service}/x`)];
+            let unserved = places.flatMap(place => paths.map(path => ({ place, path })));
+            for (;;) {
+                const round = await Promise.all(
+                    unserved.map(({ place, path }) => call(place, { path }, false)),
+                );
+                // Backend servers may be too few for all at once.
+                unserved = unserved.filter((_, at) => round[at]?.status !== 200 || !round[at].isOwn);
+                const ms = Math.round(performance.now() - from);
+                if (unserved.length === 0 || ms > limitMs) {
+                    return {
+                        ms,
+                        unserved: unserved.map(({ place, path }) => `${path} through ${place.name}`),
+                    };
+                }
+                await sleep(pauseMs[1]);
+            }
         },
         async close() {
             await Promise.all(loops);
--- a/scripts/soak/daemons.ts
+++ b/scripts/soak/daemons.ts
@@ -32,7 +32,7 @@
             return;
         }
         const { host, name, daemonAddresses, door } = place;
-        const process = startSiteDaemon({
+        const daemon = startSiteDaemon({
             ...place,
             host: name,
             addresses: daemonAddresses,
@@ -42,8 +42,8 @@
             logFile: join(folder, `${name}.log`),
         });
         const startedAt = Date.now();
-        daemons.update(before => [...before, { host, startedAt, process, signals: [] }]);
-        void process.exited.then(exit => {
+        daemons.update(before => [...before, { host, startedAt, daemon, signals: [] }]);
+        void daemon.exited.then(exit => {
             change(startedAt, host, () => ({ exit, endedAt: Date.now() }));
             setTimeout(() => start(place), downMs.get(host) ?? 0);
         });
@@ -55,7 +55,7 @@
             change(life.startedAt, host, ({ signals }) => ({
                 signals: [...signals, { name, at: Date.now() }],
             }));
-            life.process.signal(name);
+            life.daemon.signal(name);
         }
     }
 
@@ -77,12 +77,16 @@
             end: ({ hosts }) => hosts.forEach(host => signal(host, "SIGCONT")),
         },
     });
+    const killAll = () => places.forEach(({ host }) => signal(host, "SIGKILL"));
+    // The backend servers end with the channel to this process; the daemons would stay.
+    process.once("exit", killAll);
     places.forEach(start);
     return {
         async close() {
             closed = true;
-            places.forEach(({ host }) => signal(host, "SIGKILL"));
-            await Promise.all(board.read("daemons").map(({ process }) => process.exited));
+            process.off("exit", killAll);
+            killAll();
+            await Promise.all(board.read("daemons").map(({ daemon }) => daemon.exited));
         },
     };
 }
--- a/scripts/soak/run.ts
+++ b/scripts/soak/run.ts
@@ -4,7 +4,7 @@
 import { createSoakBoard, Phase, type Finding, type SoakBoard } from "./board.js";
 import { createChecking, type Checking } from "./checking.js";
 import { CheckKind } from "./checks.js";
-import { createClients, type Clients } from "./clients.js";
+import { createClients } from "./clients.js";
 import { createConnections } from "./connections.js";
 import { createDaemons, livingDaemon } from "./daemons.js";
 import { resolveSoakOptions, type SoakOptions } from "./options.js";
@@ -47,16 +47,26 @@
     const checking = createChecking(board);
     createStoreFaults(board, site);
     createConnections(board, site);
-    const processes = [createDaemons(board, site, folder), createServers(board, site)];
+    const processes = [createDaemons(board, site, folder), createServers(board, site, schedule.capacity)];
     const clients = createClients(board, site, resolved.seed);
+    async function serveAll(limitMs: number): Promise<number> {
+        const { ms, unserved } = await clients.serveAll(limitMs);
+        unserved.forEach(name =>
+            checking.report(CheckKind.ServedAgain, name, `not served within ${limitMs} ms`),
+        );
+        return ms;
+    }
+
     let servedAgainMs = 0;
     try {
-        await untilServed(clients, { limitMs: startMs, checking });
+        await serveAll(startMs);
         phase.write(Phase.Faults);
         await playFaults(board, schedule.faults, resolved.seconds);
-        await untilRestarted(board, site);
+        if (!(await untilRestarted(board, site))) {
+            checking.report(CheckKind.ServedAgain, "processes", `not all ran again within ${restartedMs} ms`);
+        }
         phase.write(Phase.Healed);
-        servedAgainMs = await untilServed(clients, { limitMs: servedAgainLimitMs, checking });
+        servedAgainMs = await serveAll(servedAgainLimitMs);
         phase.write(Phase.Done);
         await clients.close();
         await sleep(afterwardsMs);
@@ -76,24 +86,8 @@
     return { findings, calls: calls.length, served, runs: checking.runs.size, servedAgainMs, folder };
 }
 
-/** Calls every service through every host until all are served; returns the time that this took. */
-async function untilServed(
-    clients: Clients,
-    { limitMs, checking }: { readonly limitMs: number; readonly checking: Checking },
-): Promise<number> {
-    const from = performance.now();
-    while (!(await clients.callAll())) {
-        if (performance.now() - from > limitMs) {
-            checking.report(CheckKind.ServedAgain, "services", `not all were served within ${limitMs} ms`);
-            break;
-        }
-        await sleep(100);
-    }
-    return Math.round(performance.now() - from);
-}
-
-/** Waits until every host has its processes, and none of them was asked to stop. */
-async function untilRestarted(board: SoakBoard, { places }: Site): Promise<void> {
+/** Waits until every host has its processes, and none of them was asked to stop; `false` if that takes too long. */
+async function untilRestarted(board: SoakBoard, { places }: Site): Promise<boolean> {
     const isRunning = (host: number) =>
         livingDaemon(board, host)?.signals.every(({ name }) => name !== "SIGTERM") === true &&
         board.read("servers").some(life => life.host === host && !life.hasEnded && life.leftAt === undefined);
@@ -101,6 +95,7 @@
     while (!places.every(({ host }) => isRunning(host)) && performance.now() < limit) {
         await sleep(50);
     }
+    return places.every(({ host }) => isRunning(host));
 }
 
 function writeRecords(folder: string, board: SoakBoard, { calls, runs }: Checking): void {
@@ -110,7 +105,7 @@
     const lives = [...board.read("daemons"), ...board.read("servers")];
     writeFileSync(
         join(folder, "processes.jsonl"),
-        lines(lives.map(life => ({ ...life, process: undefined }))),
+        lines(lives.map(life => ({ ...life, process: undefined, daemon: undefined }))),
     );
     writeFileSync(join(folder, "findings.txt"), lines(board.read("findings")));
 }
--- a/scripts/soak/schedule.ts
+++ b/scripts/soak/schedule.ts
@@ -7,8 +7,22 @@
     /** Numbers of the hosts whose connections pass relays. The others are reached directly. */
     readonly relayed: readonly number[];
     readonly faults: readonly Fault[];
+    readonly capacity: Capacity;
 }
 
+/** What each backend server can take. */
+export interface Capacity {
+    readonly slots: number;
+    /** Work of a call, in milliseconds. */
+    readonly workMs: number;
+}
+
+/** Far above the load of the clients, and below it, so that calls wait and are refused. */
+const capacities: readonly Capacity[] = [
+    { slots: 12, workMs: 25 },
+    { slots: 2, workMs: 150 },
+];
+
 /** Share of the faults that follow the one before at once. */
 const seriesShare = 0.35;
 /** Greatest time between two faults of a series, in milliseconds. */
@@ -77,16 +91,16 @@
     if (random() < powerLossShare) {
         faults.push(createFault(seconds * 1_000, FaultKind.LosePower, faultPlans[FaultKind.LosePower]));
     }
-    return { seed, relayed, faults };
+    return { seed, relayed, faults, capacity: pick(capacities) };
 }
 
 /** One line for each fault. */
-export function formatSchedule({ seed, relayed, faults }: Schedule): string {
+export function formatSchedule({ seed, relayed, faults, capacity }: Schedule): string {
     const lines = faults.map(
         ({ at, kind, detail, hosts, ms }) =>
             `${String(at).padStart(6)} ms ${kind} ${detail} of ${nameHosts(hosts)} for ${ms} ms`,
     );
-    return `seed ${seed}, relays before ${nameHosts(relayed)}\n${lines.join("\n")}\n`;
+    return `seed ${seed}, relays before ${nameHosts(relayed)}, ${capacity.slots} slots, ${capacity.workMs} ms of work\n${lines.join("\n")}\n`;
 }
 
 function nameHosts(hosts: readonly number[]): string {
--- a/scripts/soak/servers.ts
+++ b/scripts/soak/servers.ts
@@ -5,16 +5,14 @@
 import type { ServerLife, SoakBoard } from "./board.js";
 import type { Processes } from "./daemons.js";
 import { followFaults, Link } from "./faults.js";
+import type { Capacity } from "./schedule.js";
 import { createServerFaults } from "./serverFaults.js";
 import { reachedAt, type Place, type Site } from "./site.js";
 
-/** Work of a call at a backend server, in milliseconds. */
-const workMs = 25;
-const slots = 12;
 const program = "packages/standin/dist/siteServerMain.js";
 
 /** Runs the backend server of each host, and replaces it when it has ended. */
-export function createServers(board: SoakBoard, { places }: Site): Processes {
+export function createServers(board: SoakBoard, { places }: Site, capacity: Capacity): Processes {
     const servers = board.claimValue("servers");
     const runs = board.claimFeed("runs");
     /** What the next process of a host uses. */
@@ -39,7 +37,7 @@
         const at = places[addresses.get(host) ?? host] as Place;
         const life = (count += 1);
         const id = next.get(host)?.id ?? `i-${host}-${life}`;
-        const process = forkServer(place, at, id);
+        const process = forkServer(place, { at, id, capacity });
         const added = { life, host, id, service, process, signals: [], hasEnded: false, isLeaving: false };
         servers.update(before => [...before, added]);
         next.delete(host);
@@ -120,11 +118,14 @@
 }
 
 /** Starts a backend server of one host at the address of the same or another one. */
-function forkServer({ service, daemonAddresses }: Place, at: Place, id: string): ChildProcess {
+function forkServer(
+    { service, daemonAddresses }: Place,
+    { at, id, capacity }: { readonly at: Place; readonly id: string; readonly capacity: Capacity },
+): ChildProcess {
     const announced = reachedAt(at, Link.Server, `127.0.0.1:${at.serverPort}`);
     return fork(program, [
         ...["--id", id, "--service", service, "--daemon", daemonAddresses[3], "--checks-instance"],
         ...["--port", String(at.serverPort), "--announced", announced],
-        ...["--work-ms", String(workMs), "--slots", String(slots)],
+        ...["--work-ms", String(capacity.workMs), "--slots", String(capacity.slots)],
     ]);
 }
