--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -36,7 +36,7 @@
 
 const failed: number[] = [];
 for (const number of Array.from({ length: seeds }, (_, at) => seed + at)) {
-    const { findings, calls, served, runs, servedAgainMs, folder } = await runSoak({
+    const { findings, calls, served, runs, gone, servedAgainMs, folder } = await runSoak({
         seed: number,
         seconds,
         hosts,
@@ -49,7 +49,7 @@
         process.stdout.write(`records and logs: ${folder}\n`);
     }
     process.stdout.write(
-        `seed ${number}: ${findings.length} findings, ${calls} calls, ${served} served, ${runs} run, all served again after ${servedAgainMs} ms\n`,
+        `seed ${number}: ${findings.length} findings, ${calls} calls, ${served} served, ${runs} run, ${gone.length} of them late, all served again after ${servedAgainMs} ms\n`,
     );
 }
 process.stdout.write(
--- a/scripts/soak/checking.ts
+++ b/scripts/soak/checking.ts
@@ -7,6 +7,8 @@
 export interface Checking {
     readonly calls: ReadonlyMap<string, Call>;
     readonly runs: ReadonlyMap<string, readonly Run[]>;
+    /** Calls that reached a backend server after their callers had left, also while they are few. */
+    readonly gone: readonly Finding[];
     report(check: CheckKind, subject: string, text: string): void;
 }
 
@@ -80,5 +82,5 @@
                 apply(daemonChecks, `daemon of h${life.host}, started at ${life.startedAt}`, life, history),
             ),
     );
-    return { calls, runs, report };
+    return { calls, runs, gone, report };
 }
--- a/scripts/soak/run.ts
+++ b/scripts/soak/run.ts
@@ -19,6 +19,8 @@
     readonly calls: number;
     readonly served: number;
     readonly runs: number;
+    /** Calls that reached a backend server long after their callers had left. */
+    readonly gone: readonly Finding[];
     /** Time after the faults until all was served, in milliseconds. */
     readonly servedAgainMs: number;
     readonly folder: string;
@@ -83,7 +85,8 @@
     }
     const calls = [...checking.calls.values()];
     const served = calls.filter(({ status, isOwn }) => status === 200 && isOwn).length;
-    return { findings, calls: calls.length, served, runs: checking.runs.size, servedAgainMs, folder };
+    const { runs, gone } = checking;
+    return { findings, calls: calls.length, served, runs: runs.size, gone, servedAgainMs, folder };
 }
 
 /** Waits until every host has its processes, and none of them was asked to stop; `false` if that takes too long. */
