fix(calls): a response without the hop's id is never taken for that of another daemon

Cause: a response that names no exchange was taken as the first of a connection, also between daemons. Any answer would have been, also a 200. Change: daemons name every hop, so a hop's response without the id is rejected as unnamed, and its outcome is unknown. Conclusion: what a foreign program answers at a daemon's address does not reach a caller.

--- a/packages/daemon/features/answers.feature
+++ b/packages/daemon/features/answers.feature
@@ -55,6 +55,11 @@
             | whole | merged   | otherExchange |
             | whole | unnamed  | unnamed       |
 
+        # Another program has the address of a daemon that has ended: its response is not one of the service.
+        Examples:
+            | first   | second  | cause   |
+            | unnamed | unnamed | unnamed |
+
     # Guards against kept connections to a server that names no calls: a late copy could not be told from an answer.
     @own-answer
     Scenario Outline: A backend server that names no calls is called on new connections
--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -187,6 +187,7 @@
         connections: context.pools.get(address, hopConnections),
         id: attempt.attemptId,
         idHeader: attemptHeader,
+        namesAll: true,
         method: call.method,
         path: call.url,
         headers: hopHeaders(context, attempt),
--- a/packages/daemon/src/adapters/calls/exchange.ts
+++ b/packages/daemon/src/adapters/calls/exchange.ts
@@ -26,6 +26,11 @@
     readonly id: string | undefined;
     /** Header by which responses repeat the id, in lower case. */
     readonly idHeader: string;
+    /**
+     * Whether the server is known to repeat the id in every response. One without it then comes from another program.
+     * @default false
+     */
+    readonly namesAll?: boolean;
     readonly method: string;
     readonly path: string;
     readonly headers: string[];
@@ -291,9 +296,9 @@
     }
     const raw = rawHeaders.map(part => (typeof part === "string" ? part : part.toString("latin1")));
     progress.head = { status, raw };
-    const { exchangesBefore } = started;
     const echoed = headerValues(raw, options.idHeader);
-    const attribution = attribute({ sent: options.id, echoed, exchangesBefore });
+    const found = attribute({ sent: options.id, echoed, exchangesBefore: started.exchangesBefore });
+    const attribution = options.namesAll && found === Attribution.Only ? Attribution.Unnamed : found;
     const cause = causes[attribution] ?? (isPassableCoding(raw) ? undefined : RejectionCause.Coding);
     if (cause !== undefined) {
         fail(progress, rejected, cause);
