--- a/scripts/soak/checks.ts
+++ b/scripts/soak/checks.ts
@@ -194,14 +194,18 @@
 type DaemonCheck = (life: DaemonLife, history: History) => string | undefined;
 
 export const daemonChecks: { readonly [K in CheckKind]?: DaemonCheck } = {
-    [CheckKind.StaysUp]({ exit, signals, host, startedAt }, { calls }) {
+    [CheckKind.StaysUp]({ exit, signals, host, startedAt, endedAt = 0 }, { calls }) {
         if (exit === undefined) {
             return undefined;
         }
         const wasKilled = exit.signal === "SIGKILL" && signals.some(({ name }) => name === "SIGKILL");
         const wasAsked = signals.some(({ name }) => name === "SIGTERM");
         const hasAnswered = [...calls.values()].some(
-            call => call.host === host && call.sentAt >= startedAt && call.status !== undefined,
+            call =>
+                call.host === host &&
+                call.sentAt >= startedAt &&
+                call.endedAt <= endedAt &&
+                call.status !== undefined,
         );
         // Before the program runs, the system ends the process.
         const wasStopped = wasAsked && (exit.code === 0 || (exit.signal === "SIGTERM" && !hasAnswered));
