--- a/scripts/soak/board.ts
+++ b/scripts/soak/board.ts
@@ -72,7 +72,7 @@
     readonly relaysStalledMs: number;
 }
 
-/** Time in which a relay held bytes back. */
+/** Time in which a relay held bytes back or reset connections. */
 export interface Disturbance {
     readonly host: number;
     readonly link: Link;
--- a/scripts/soak/checks.ts
+++ b/scripts/soak/checks.ts
@@ -144,7 +144,7 @@
     return startedAt - stalledMs - relaysStalledMs;
 }
 
-/** Whether a relay before the daemon or the backend server of a run held bytes during the call. */
+/** Whether a relay before the daemon or the backend server of a run held bytes or reset connections during the call. */
 function wasHeldBack(call: Call, { host, addressHost, startedAt }: Run, { board }: History): boolean {
     const hosts: Readonly<Record<Link, number | undefined>> = {
         [Link.Peer]: host,
--- a/scripts/soak/connections.ts
+++ b/scripts/soak/connections.ts
@@ -13,25 +13,25 @@
     const relaysOf = ({ hosts, detail }: Fault) =>
         hosts.flatMap(host => places[host]?.relays.get(detail as Link) ?? []);
 
-    /** A fault that holds bytes back until it ends. */
-    function holding(begin: (relay: Relay, fault: Fault) => void): FaultHandler {
-        return {
-            begin(fault) {
-                relaysOf(fault).forEach(relay => begin(relay, fault));
-                const from = Date.now();
-                const link = fault.detail as Link;
-                const entries = fault.hosts.map(host => ({ host, link, from, to: from + fault.ms }));
-                disturbances.update(before => [...before, ...entries]);
-            },
-            end: fault => relaysOf(fault).forEach(relay => relay.restore()),
-        };
+    function disturb(fault: Fault, ms: number, begin: (relay: Relay, fault: Fault) => void): void {
+        relaysOf(fault).forEach(relay => begin(relay, fault));
+        const from = Date.now();
+        const link = fault.detail as Link;
+        const entries = fault.hosts.map(host => ({ host, link, from, to: from + ms }));
+        disturbances.update(before => [...before, ...entries]);
     }
 
+    /** A fault that holds bytes back until it ends. */
+    const holding = (begin: (relay: Relay, fault: Fault) => void): FaultHandler => ({
+        begin: fault => disturb(fault, fault.ms, begin),
+        end: fault => relaysOf(fault).forEach(relay => relay.restore()),
+    });
+
     followFaults(board, {
         [FaultKind.Cut]: holding(relay => relay.cut()),
         [FaultKind.Reset]: {
             begin: fault =>
-                relaysOf(fault).forEach(relay => {
+                disturb(fault, 0, relay => {
                     relay.cut();
                     relay.restore();
                 }),
