fix(joining): peers that say that they hold nothing get time to read the head row

Cause: the host gave its peers 1 s from its first link. Peers that start at the same time answer at once that they hold nothing, and read the row themselves later than that when the processor is short.

Change: while no linked peer holds a version and one has answered so, the host waits up to 5 s from its start, as for peers that it cannot reach yet. A heartbeat of a peer that holds a version ends the wait. Silent peers keep 1 s.

Cost: where the peers cannot read the store at all, a starting host that can serves up to 4 s later.

--- a/packages/core/features/joining.feature
+++ b/packages/core/features/joining.feature
@@ -35,6 +35,17 @@
         When a peer of the joining host announces version 7
         Then the joining host is "joining" with floor 7
 
+    @no-older-version @stale-read @herd-death
+    Scenario: Peers that say that they hold nothing are given time to read the head row themselves
+        # Guards against a stale head row that is served because the peers start more slowly than this host.
+        Given a joining host while the platform is down
+        When the joining host reads head version 5 and gets version 5 after 50 ms
+        And its peers answer that they hold nothing
+        And the joining host gets version 5 after 2500 ms
+        Then the joining host is "joining" with floor 5
+        When a peer of the joining host announces version 7
+        Then the joining host is "joining" with floor 7
+
     @no-older-version @stale-read @herd-death
     Scenario: A stale head row does not admit a host before it has reached the peers that it knows of
         # Guards against a busy start whose links open only after the time for the peers' answers.
--- a/packages/core/src/joining/readiness.ts
+++ b/packages/core/src/joining/readiness.ts
@@ -211,16 +211,23 @@
 
 /**
  * A read of the head row may be stale, so the peers get a short time to report a higher version. Answers of peers that
- * hold nothing say nothing: after a loss of power everywhere all peers start at once.
+ * hold nothing say nothing: after a loss of power everywhere all peers start at once, and read the head row as well.
  */
 function peersHadTime(joining: Joining, facts: ReadinessFacts): boolean {
     const isInformed = joining.peersHeld > 0 && facts.linkedHosts.length > 0 && allAnswered(joining, facts);
-    const unlinkedMs = facts.expectsPeers ? peerAnswersDeadlineMs : peerAnswerGraceMs;
-    const deadline =
-        joining.linkedAt === undefined
-            ? joining.startedAt + unlinkedMs
-            : Math.min(joining.linkedAt + peerAnswerGraceMs, joining.startedAt + peerAnswersDeadlineMs);
-    return isInformed || facts.now >= deadline;
+    return isInformed || facts.now >= peersDeadline(joining, facts);
+}
+
+function peersDeadline(
+    { answeredBy, linkedAt, peersHeld, startedAt }: Joining,
+    facts: ReadinessFacts,
+): number {
+    const longest = startedAt + peerAnswersDeadlineMs;
+    if (linkedAt === undefined) {
+        return facts.expectsPeers ? longest : startedAt + peerAnswerGraceMs;
+    }
+    const areStarting = answeredBy.size > 0 && peersHeld === 0;
+    return areStarting ? longest : Math.min(linkedAt + peerAnswerGraceMs, longest);
 }
 
 /** With several peers that all answered, there is nobody left to wait for. */
