fix(calls): the rest of a refused body does not hold the next request of its connection back

Cause: a request body is read through an async iterator, whose listener keeps the request from flowing. When a call ended while a read of its body was pending, as when a backend server or this host refuses an upload that still arrives, resume() had no effect, nobody read the rest, and the parser never came to the next request.

Change: the body lets its iterator go without destroying the request, and then reads on. Both places that end a call use it.

--- a/packages/daemon/src/adapters/calls/handleEntry.ts
+++ b/packages/daemon/src/adapters/calls/handleEntry.ts
@@ -116,10 +116,7 @@
     }
     const result = await carry(context, entry);
     cancel.close();
-    if (!request.complete) {
-        // The rest of a body that nobody needs must not stand in front of the connection's next request.
-        request.resume();
-    }
+    entry.body.drop();
     const { retries, selection, stages } = entry;
     span.end(
         result !== CallResult.Completed,
--- a/packages/daemon/src/adapters/calls/handleHop.ts
+++ b/packages/daemon/src/adapters/calls/handleHop.ts
@@ -132,9 +132,7 @@
     progress?.cancel();
     body.close();
     cancel.close();
-    if (!request.complete) {
-        request.resume();
-    }
+    requestBody.drop();
     outcome.caseOf({
         Left: refused => {
             noteRefused(context, { call, attemptId, callId }, refused, stages);
--- a/packages/daemon/src/adapters/calls/requestBody.ts
+++ b/packages/daemon/src/adapters/calls/requestBody.ts
@@ -13,6 +13,8 @@
     replayable(): boolean;
     /** Whether more bytes came than the operation allows. */
     tooLarge(): boolean;
+    /** Drops the rest of the body, which must not stand in front of the connection's next request. */
+    drop(): void;
 }
 
 export interface BodyAttempt {
@@ -40,6 +42,7 @@
     countSmall: () => Promise.resolve(),
     replayable: () => true,
     tooLarge: () => false,
+    drop: () => undefined,
 };
 
 /** Reads a request body on demand, so that a slow receiver slows the caller down. */
@@ -57,7 +60,7 @@
     request: IncomingMessage,
     { declaredBytes = Infinity, maxBytes, repeatable }: RequestBodyOptions,
 ): RequestBody {
-    const iterator = request[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
+    const iterator = request.iterator({ destroyOnReturn: false }) as AsyncIterator<Buffer>;
     const kept: Buffer[] = [];
     let whole: Buffer | undefined;
     let received = 0;
@@ -159,5 +162,12 @@
         countSmall,
         replayable: () => !trimmed,
         tooLarge: () => received > maxBytes,
+        drop() {
+            if (!request.complete) {
+                // While the iterator listens, the request does not flow. It lets go when its pending read ends.
+                const resume = () => void request.resume();
+                void iterator.return?.().then(resume, resume);
+            }
+        },
     };
 }
