--- a/packages/daemon/src/adapters/calls/requestBody.ts
+++ b/packages/daemon/src/adapters/calls/requestBody.ts
@@ -56,6 +56,14 @@
     return (request.read() as Buffer | null) ?? noBytes;
 }
 
+/** While the iterator listens, the request does not flow. It lets go when its pending read ends. */
+function dropRest(request: IncomingMessage, iterator: AsyncIterator<Buffer>): void {
+    if (!request.complete) {
+        const resume = () => void request.resume();
+        void iterator.return?.().then(resume, resume);
+    }
+}
+
 function createPresentBody(
     request: IncomingMessage,
     { declaredBytes = Infinity, maxBytes, repeatable }: RequestBodyOptions,
@@ -162,12 +170,6 @@
         countSmall,
         replayable: () => !trimmed,
         tooLarge: () => received > maxBytes,
-        drop() {
-            if (!request.complete) {
-                // While the iterator listens, the request does not flow. It lets go when its pending read ends.
-                const resume = () => void request.resume();
-                void iterator.return?.().then(resume, resume);
-            }
-        },
+        drop: () => dropRest(request, iterator),
     };
 }
