fix(standin): a free port is not found twice by one process

Cause: the ports of a search are released when it ends. Two hosts of a site search at the same time, and the second may begin after the first has ended and before its listeners are open.

Change: a search leaves out the 2,000 ports that the process found last.

--- a/packages/standin/src/freePorts.ts
+++ b/packages/standin/src/freePorts.ts
@@ -4,6 +4,9 @@
 /** Ports from here up to the range from which systems take the ports of outgoing connections. */
 const firstPort = 20_000;
 const portCount = 12_000;
+/** Ports that this process found last and does not find again: two searches may run before either has used its ports. */
+const maxRecentPorts = 2_000;
+const recentPorts = new Set<number>();
 
 /**
  * Finds free loopback ports outside the range of outgoing connections: a port inside it may be taken by a
@@ -15,6 +18,10 @@
     let offset = Math.floor(Math.random() * portCount);
     for (let tries = 0; ports.length < count && tries < portCount; tries += 1) {
         offset = (offset + 1) % portCount;
+        if (recentPorts.has(firstPort + offset)) {
+            continue;
+        }
+        noteRecent(firstPort + offset);
         const server = createServer().listen(firstPort + offset, "127.0.0.1");
         const isFree = await once(server, "listening").then(
             () => true,
@@ -28,3 +35,11 @@
     await Promise.all(held.map(server => once(server.close(), "close")));
     return ports;
 }
+
+function noteRecent(port: number): void {
+    recentPorts.add(port);
+    const [oldest] = recentPorts;
+    if (recentPorts.size > maxRecentPorts && oldest !== undefined) {
+        recentPorts.delete(oldest);
+    }
+}
