--- a/packages/core/src/checking/checkValue.ts
+++ b/packages/core/src/checking/checkValue.ts
@@ -1,5 +1,5 @@
-import { isIPv4, isIPv6 } from "node:net";
 import { maxNameLength, maxPathLength, maxPort, maxUrlLength } from "./constants.js";
+import { isEndpoint } from "./endpoint.js";
 import { describeValue, type Mistakes, type Path } from "./mistakes.js";
 import { RuleKind, type Rule, type RuleByKind } from "./rule.js";
 import { suggest } from "./suggest.js";
@@ -187,13 +187,6 @@
     [RuleKind.Group]: rule => Object.values({ ...rule.required, ...rule.optional }).some(holdsSecret),
 } satisfies { [K in RuleKind]: (rule: RuleByKind[K]) => boolean };
 
-function isEndpoint(text: string): boolean {
-    const [, address = "", port = ""] = /^(.+):(\d{1,5})$/.exec(text) ?? [];
-    const bracketed = /^\[(.+)\]$/.exec(address)?.[1];
-    const validAddress = bracketed === undefined ? isIPv4(address) : isIPv6(bracketed);
-    return validAddress && Number(port) >= 1 && Number(port) <= maxPort;
-}
-
 function isUrl(text: string): boolean {
     if (text.length > maxUrlLength || !URL.canParse(text)) {
         return false;
--- a/packages/daemon/src/controllers/domainRow.ts
+++ b/packages/daemon/src/controllers/domainRow.ts
@@ -1,6 +1,7 @@
 import {
     chooseDomainAddresses,
     HostState,
+    isEndpoint,
     maxDomainAddresses,
     PlatformAnswer,
     PlatformOperation,
@@ -27,8 +28,6 @@
 const firstRereadMs = 4_000;
 /** Prefix of the keys of the rows. */
 const domainPrefix = "domain/";
-/** Longest address that is taken from the row. */
-const maxAddressLength = 255;
 /** Links below which a host needs the addresses. */
 const fewLinks = 2;
 
@@ -150,7 +149,6 @@
 
 function decodeAddresses(row: unknown): readonly string[] {
     const list: unknown = typeof row === "object" && row !== null ? Reflect.get(row, "addresses") : undefined;
-    const isAddress = (entry: unknown): entry is string =>
-        typeof entry === "string" && entry.length <= maxAddressLength;
+    const isAddress = (entry: unknown): entry is string => typeof entry === "string" && isEndpoint(entry);
     return Array.isArray(list) ? list.filter(isAddress).slice(0, maxDomainAddresses) : [];
 }
--- a/packages/standin/src/site/siteServer.ts
+++ b/packages/standin/src/site/siteServer.ts
@@ -37,6 +37,9 @@
 }
 
 export interface SiteServer {
+    readonly id: string;
+    /** Milliseconds since the epoch at its start, as it announces them. */
+    readonly born: number;
     readonly address: string;
     readonly runs: readonly SiteRun[];
     readonly arrivals: () => number;
@@ -111,6 +114,8 @@
     // The daemon may start later; the next announcement finds it.
     await announce().catch(() => undefined);
     return {
+        id: resolved.id,
+        born: resolved.born,
         address,
         runs: state.runs,
         arrivals: () => state.arrivals,
