fix(joining): a host that has not read the first addresses does not take itself for alone

Until the rows with the first addresses were read, the host expected no peers and waited 1 s for their word instead of 5 s. The section says now whether the rows have been read.

Also here: a scenario for a call that waits for its slot while its daemon is busy and its client leaves.

--- a/features/steps/lateCalls.ts
+++ b/features/steps/lateCalls.ts
@@ -75,25 +75,75 @@
 
 const patient = { deadlineMs: 5_000, leavesAfterMs: 5_000 };
 
+interface BusySite {
+    readonly names: string;
+    readonly forMs: number;
+    readonly turnMs: number;
+    readonly slots: number;
+    /** Host of the backend server. */
+    readonly at: string;
+}
+
+/** Slots of a backend server whose calls need not wait. */
+const manySlots = 100;
+
+async function startBusySite(world: World, { names, forMs, turnMs, slots, at }: BusySite): Promise<void> {
+    const nodeArguments = ["--import", busyTurns(turnMs, forMs)];
+    world.leaving = await startHostProcesses(names.split(","), "eager", { nodeArguments });
+    world.leftAt = new Map();
+    const [entry] = world.leaving.hosts as [HostProcess];
+    const end = performance.now() + startMs;
+    while ((await entry.sample()) === undefined && performance.now() < end) {
+        await sleep(pollMs);
+    }
+    await entry.accept("playground/kuasa/answers.jsonc");
+    const daemon = { url: `http://${hostNamed(world, at).admin}`, token: "backend-token-0001" };
+    world.server = await startBackendServer({ id: "s1", service: "stock", slots, daemon });
+    while ((await call(world, entry, { id: "first", ...patient })) !== 200) {
+        assert.ok(performance.now() < end, "no call was served");
+        await sleep(pollMs);
+    }
+}
+
 Given(
     "daemon processes {string} that can be made busy for {int} ms with turns of {int} ms, and a backend server at {string}",
     { timeout: scenarioMs },
-    async function (this: World, names: string, forMs: number, turnMs: number, at: string) {
-        const nodeArguments = ["--import", busyTurns(turnMs, forMs)];
-        this.leaving = await startHostProcesses(names.split(","), "eager", { nodeArguments });
-        this.leftAt = new Map();
-        const [entry] = this.leaving.hosts as [HostProcess];
-        const end = performance.now() + startMs;
-        while ((await entry.sample()) === undefined && performance.now() < end) {
-            await sleep(pollMs);
-        }
-        await entry.accept("playground/kuasa/answers.jsonc");
-        const daemon = { url: `http://${hostNamed(this, at).admin}`, token: "backend-token-0001" };
-        this.server = await startBackendServer({ id: "s1", service: "stock", slots: 100, daemon });
-        while ((await call(this, entry, { id: "first", ...patient })) !== 200) {
-            assert.ok(performance.now() < end, "no call was served");
-            await sleep(pollMs);
-        }
+    function (this: World, names: string, forMs: number, turnMs: number, at: string) {
+        return startBusySite(this, { names, forMs, turnMs, slots: manySlots, at });
+    },
+);
+
+Given(
+    "daemon processes {string} that can be made busy for {int} ms with turns of {int} ms, and a backend server with {int} slot at {string}",
+    { timeout: scenarioMs },
+    function (this: World, names: string, forMs: number, turnMs: number, slots: number, at: string) {
+        return startBusySite(this, { names, forMs, turnMs, slots, at });
+    },
+);
+
+/** Time that a call holds the slot, in milliseconds. */
+const heldMs = 300;
+/** Time for a call to reach the backend server or its queue, in milliseconds. */
+const reachMs = 100;
+/** Time for which the others wait before they leave, in milliseconds: they close once the slot is free. */
+const waitedMs = 250;
+
+When(
+    "{string} is busy while its only slot gets free and {int} clients of {string} that wait for it leave",
+    { timeout: scenarioMs },
+    async function (this: World, busy: string, count: number, name: string) {
+        const entry = hostNamed(this, name);
+        this.server?.setFaults({ workMs: heldMs });
+        const holding = call(this, entry, { id: "holding", ...patient });
+        await sleep(reachMs);
+        const waiting = Array.from({ length: count }, (_, at) =>
+            call(this, entry, { id: `c${at}`, deadlineMs: 5_000, leavesAfterMs: waitedMs }),
+        );
+        await sleep(reachMs);
+        hostNamed(this, busy).child.kill("SIGUSR2");
+        await Promise.all([holding, ...waiting]);
+        assert.equal(this.leftAt.size, count, "calls were answered before their clients could leave");
+        this.server?.setFaults({ workMs: 0 });
     },
 );
 
--- a/packages/daemon/features/steps/membership.ts
+++ b/packages/daemon/features/steps/membership.ts
@@ -207,5 +207,5 @@
     assert.deepEqual(writes, [{ operation: PlatformOperation.WriteRow, key: "domain/a", row }]);
     const reads = requests.filter(({ operation }) => operation === PlatformOperation.ListRows);
     assert.ok(reads.length >= 3 && reads.length <= 4, `${reads.length} reads in 30 s`);
-    assert.deepEqual(daemon?.board.read("domainAddresses").get("a"), row.addresses);
+    assert.deepEqual(daemon?.board.read("domainAddresses")?.get("a"), row.addresses);
 });
--- a/packages/daemon/src/adapters/peers/peers.ts
+++ b/packages/daemon/src/adapters/peers/peers.ts
@@ -225,13 +225,11 @@
 
 function dial(context: Context, now: number): void {
     const { attempts, board, links, random, self } = context;
+    const listed: ReadonlyMap<string, readonly string[]> = board.read("domainAddresses") ?? new Map();
     const choice = chooseDials({
         neighbours: [...board.read("topology").neighbours, ...waitedFor(context)],
-        seeds: [
-            ...board.read("settings").peers,
-            ...(board.read("domainAddresses").get(self.failureDomain) ?? []),
-        ],
-        strays: findStrays(board.read("membership"), board.read("domainAddresses"), {
+        seeds: [...board.read("settings").peers, ...(listed.get(self.failureDomain) ?? [])],
+        strays: findStrays(board.read("membership"), listed, {
             isRelay: board.read("topology").domainRelay,
         }),
         ownAddress: self.address,
--- a/packages/daemon/src/board.ts
+++ b/packages/daemon/src/board.ts
@@ -115,8 +115,11 @@
     membership: Value<Membership>;
     membershipOutbox: Feed<OutgoingMessage>;
     topology: Value<Topology>;
-    /** Addresses of the rows `domain/<failure domain>`, by failure domain, for the first links. */
-    domainAddresses: Value<ReadonlyMap<string, readonly string[]>>;
+    /**
+     * Addresses of the rows `domain/<failure domain>`, by failure domain, for the first links; `undefined` before the first
+     * read.
+     */
+    domainAddresses: Value<ReadonlyMap<string, readonly string[]> | undefined>;
     domainRowIo: Feed<PlatformCommand>;
     platformState: Value<PlatformState>;
     headReads: Feed<PlatformCommand>;
@@ -175,7 +178,7 @@
                 composition: 0,
             },
             topology: { headReader: true, domainRelay: false, regionRelay: false, neighbours: [] },
-            domainAddresses: new Map(),
+            domainAddresses: undefined,
             platformState: {
                 head: undefined,
                 headTag: undefined,
--- a/packages/daemon/src/controllers/readiness.ts
+++ b/packages/daemon/src/controllers/readiness.ts
@@ -107,10 +107,13 @@
     };
 }
 
+/** A host that has not read the rows yet cannot know that it is alone. */
 function expectsPeers(board: Board): boolean {
     const { records, self } = board.read("membership");
-    const listed = [...board.read("domainAddresses").values()].flat();
+    const addresses = board.read("domainAddresses");
+    const listed = [...(addresses?.values() ?? [])].flat();
     return (
+        addresses === undefined ||
         board.read("settings").peers.length > 0 ||
         records.size > 0 ||
         listed.some(address => address !== self.peerAddress)
