fix(calls): calls at work at the end of the grace are answered, and none comes that it has no time for

Operators of other systems saw requests that came late in the grace of a planned stop taken, passed on and cut at its end with no answer, among them requests that may not be repeated.

Here a call on another host was cut so: at the end of the grace its daemon cancelled it, asked the other daemon for its fate and closed all connections before the answer came. It says at once now that the outcome is unknown. And a call is refused as not run, by the entry daemon and by that of the backend server, once the rest of the grace is shorter than its latency objective; the shutdown section says when calls are cut.

--- a/packages/daemon/features/calls.feature
+++ b/packages/daemon/features/calls.feature
@@ -184,6 +184,34 @@
         When the backend server drains with one finishing call and one that never ends
         Then the finishing call completes and the other ends as unknown
 
+    # Guards against calls that are taken late in the grace of a planned stop and cut at its end.
+    @graceful-shutdown @not-run-is-true
+    Scenario Outline: A call that comes late in the grace is <taken> when <ms> ms are left for an objective of 8000 ms
+        Given a call deployment whose calls run on <where> host
+        When host <stopping> stops, takes calls for 10000 ms and cuts them after <ms> ms
+        Then a new call is <taken>
+
+        Examples:
+            | where   | stopping | ms   | taken     |
+            | its own | 0        | 9000 | completed |
+            | its own | 0        | 7900 | not-run   |
+            | another | 0        | 7900 | not-run   |
+            | another | 1        | 9000 | completed |
+            | another | 1        | 7900 | not-run   |
+
+    # Guards against callers that are cut off without an answer at the end of the grace, because their daemon still asks
+    # the other one what became of the call.
+    @graceful-shutdown
+    Scenario Outline: A call that is still at work at the end of the grace is answered, on <where> host
+        Given a call deployment whose calls run on <where> host
+        When the daemon stops with <calls> calls in flight that never end
+        Then each of these calls is answered as unknown
+
+        Examples:
+            | where   | calls |
+            | its own | 3     |
+            | another | 3     |
+
     Scenario: A silent backend connection costs the calls on it alone
         Given a call deployment of 1 hosts
         When idle backend connections go silent and one call with a deadline of 300 ms hits one
--- a/packages/daemon/features/steps/callFixture.ts
+++ b/packages/daemon/features/steps/callFixture.ts
@@ -99,12 +99,15 @@
     readonly slots: number;
     /** Whether host 0 has no backend server. */
     readonly entryWithout?: boolean;
+    /** Time that a message between daemons takes, in milliseconds. */
+    readonly linkMs?: number;
 }
 
 export async function createDeployment({
     hosts: count,
     slots,
     entryWithout = false,
+    linkMs = 0,
 }: DeploymentOptions): Promise<Deployment> {
     const ledger: Run[] = [];
     const broken = new Set<string>();
@@ -112,7 +115,7 @@
     const records = new Map<string, HostRecord>();
     for (let i = 0; i < count; i += 1) {
         const offers = !(entryWithout && i === 0);
-        hosts.push(await createHost(`h${i}`, { slots, offers, ledger, broken, records, hosts }));
+        hosts.push(await createHost(`h${i}`, { slots, offers, ledger, broken, records, hosts, linkMs }));
     }
     const publish = () => publishers.get(records)?.forEach(entry => entry());
     publish();
@@ -140,6 +143,7 @@
     readonly broken: Set<string>;
     readonly records: Map<string, HostRecord>;
     readonly hosts: TestHost[];
+    readonly linkMs: number;
 }
 
 async function createHost(name: string, options: HostOptions): Promise<TestHost> {
@@ -211,7 +215,7 @@
     if (offers) {
         servers.write(new Map([["s1", server]]));
     }
-    relayMessages(name, board, hosts);
+    relayMessages(name, board, options);
     return {
         name,
         board,
@@ -242,13 +246,19 @@
 const inboxes = new WeakMap<Board, (message: IncomingMessage) => void>();
 
 /** Stands in for the links between daemons. */
-function relayMessages(name: string, board: Board, hosts: TestHost[]): void {
+function relayMessages(name: string, board: Board, { hosts, linkMs }: HostOptions): void {
     const inbox = board.claimFeed("peerInbox");
     inboxes.set(board, message => inbox.append(message));
     board.follow("callsOutbox", ({ to, message }) => {
         const target = hosts.find(host => "host" in to && host.name === to.host);
-        if (target !== undefined) {
-            inboxes.get(target.board)?.({ from: name, receivedAt: Date.now(), message });
+        const deliver = () =>
+            target === undefined
+                ? undefined
+                : inboxes.get(target.board)?.({ from: name, receivedAt: Date.now(), message });
+        if (linkMs > 0) {
+            setTimeout(deliver, linkMs);
+        } else {
+            deliver();
         }
     });
 }
--- a/packages/daemon/features/steps/membership.ts
+++ b/packages/daemon/features/steps/membership.ts
@@ -99,7 +99,7 @@
 });
 
 When("the membership daemon {string} is asked to shut down", function (this: World, host: string) {
-    daemonOf(this, host).board.claimValue("shutdown").write({ requested: true, lingersUntil: 0 });
+    daemonOf(this, host).board.claimValue("shutdown").write({ requested: true, lingersUntil: 0, cutsAt: 0 });
 });
 
 Then(
--- a/packages/daemon/src/adapters/calls/createCalls.ts
+++ b/packages/daemon/src/adapters/calls/createCalls.ts
@@ -12,6 +12,7 @@
 import type { CallContext } from "./context.js";
 import type { CallDialect } from "./dialect.js";
 import { createFates } from "./fates.js";
+import { daemonStops } from "./incoming.js";
 import { handleEntry } from "./handleEntry.js";
 import { handleHop } from "./handleHop.js";
 import { createObservations } from "./observations.js";
@@ -51,8 +52,6 @@
     close(): Promise<void>;
 }
 
-const stopped = new Error("the daemon stopped waiting for calls in flight");
-
 type Handler = (context: CallContext, request: IncomingMessage, response: ServerResponse) => Promise<void>;
 
 /** Opens the callers' listener and carries calls to the backend servers of this and other hosts. */
@@ -122,7 +121,7 @@
         async close() {
             const timer = setTimeout(
                 () => {
-                    context.cancels.forEach(cancel => cancel.cancel(stopped));
+                    context.cancels.forEach(cancel => cancel.cancel(daemonStops));
                     // The calls just cancelled reset their connections first; an end would make a cut answer look whole.
                     setImmediate(() => server.closeAllConnections());
                 },
--- a/packages/daemon/src/adapters/calls/handleEntry.ts
+++ b/packages/daemon/src/adapters/calls/handleEntry.ts
@@ -29,6 +29,8 @@
     callerLeft,
     cancelIfLeft,
     checkAdmitting,
+    checkTimeLeft,
+    daemonStops,
     deadlinePassed,
     earliestArrival,
     openCancel,
@@ -57,7 +59,9 @@
 ): Promise<void> {
     const { telemetry, dialect } = context;
     const arrivedAt = earliestArrival(context, request);
-    const checked = checkAdmitting(context, arrivedAt).chain(() => readEntryCall(context, request));
+    const checked = checkAdmitting(context, arrivedAt)
+        .chain(() => readEntryCall(context, request))
+        .chain(call => checkTimeLeft(context, call));
     if (checked.isLeft()) {
         const refused = checked.extract() as Refusal;
         const callId = request.headers[dialect.callIdHeader];
@@ -274,7 +278,8 @@
     if (outcome.failure !== AttemptFailure.Lost || entry.control.reason === callerLeft) {
         return step;
     }
-    if (step === NextStep.AskFate) {
+    // An answer of the other daemon would come after this one has closed its connections.
+    if (step === NextStep.AskFate && entry.control.reason !== daemonStops) {
         const waitMs = Math.max(
             lateFateWaitMs,
             Math.min(fateWaitMs, remainingMs(entry.deadline, context.now())),
--- a/packages/daemon/src/adapters/calls/handleHop.ts
+++ b/packages/daemon/src/adapters/calls/handleHop.ts
@@ -12,6 +12,7 @@
 import {
     cancelIfLeft,
     checkAdmitting,
+    checkTimeLeft,
     earliestArrival,
     openCancel,
     readHopCall,
@@ -42,6 +43,7 @@
     const arrivedAt = earliestArrival(context, request);
     const checked = checkAdmitting(context, arrivedAt)
         .chain(() => readHopCall(context, request))
+        .chain(call => checkTimeLeft(context, call))
         .chain(call => verify(context, call));
     if (checked.isLeft()) {
         const refused = checked.extract() as Refusal;
--- a/packages/daemon/src/adapters/calls/incoming.ts
+++ b/packages/daemon/src/adapters/calls/incoming.ts
@@ -117,6 +117,20 @@
     return state === ReadinessState.Ready ? Right(true) : Left(refusal(RefusalReason.NotReady));
 }
 
+/**
+ * Whether a call that comes during a shutdown can still be served. What its objective does not leave time for would be
+ * cut at the end of the grace, and a caller cannot repeat every call then.
+ */
+export function checkTimeLeft(
+    { board, now }: CallContext,
+    call: IncomingCall,
+): Either<Refusal, IncomingCall> {
+    const { requested, cutsAt } = board.read("shutdown");
+    return requested && now() + call.matched.latencyObjectiveMs > cutsAt
+        ? Left(refusal(RefusalReason.Draining))
+        : Right(call);
+}
+
 /** Reads the head of a caller's request and finds its route. */
 export function readEntryCall(
     { board, dialect, random }: CallContext,
@@ -200,6 +214,7 @@
 }
 
 export const callerLeft = new Error("the caller left");
+export const daemonStops = new Error("the daemon stopped waiting for calls in flight");
 export const deadlinePassed = new Error("the deadline passed");
 
 /** Cancels a call when its caller leaves, its deadline passes or the daemon stops waiting for it. */
--- a/packages/daemon/src/board.ts
+++ b/packages/daemon/src/board.ts
@@ -78,6 +78,8 @@
     readonly requested: boolean;
     /** Milliseconds since the epoch until which new calls are still taken after the request. */
     readonly lingersUntil: number;
+    /** Calls that are still at work are cut then, in milliseconds since the epoch. */
+    readonly cutsAt: number;
 }
 
 export const RevisionCommandKind = {
@@ -190,7 +192,7 @@
             },
             configuration: { held: undefined },
             readiness: { state: ReadinessState.Joining, reason: "starting", floor: 0, since: now },
-            shutdown: { requested: false, lingersUntil: 0 },
+            shutdown: { requested: false, lingersUntil: 0, cutsAt: Infinity },
             backendServers: new Map(),
             departures: new Map(),
             rememberedDepartures: new Map(),
--- a/packages/daemon/src/start.ts
+++ b/packages/daemon/src/start.ts
@@ -22,7 +22,7 @@
 import { createRevisions } from "./controllers/revisions.js";
 import { createRouting } from "./controllers/routing.js";
 import { createTopology } from "./controllers/topology.js";
-import { idleGraceMs, waitForCalls } from "./draining.js";
+import { drainLimitMs, idleGraceMs, waitForCalls } from "./draining.js";
 import { steadyNow } from "./steadyClock.js";
 import type { ResolvedSettings } from "./settings/settings.js";
 
@@ -107,7 +107,12 @@
 
     async function closeParts(): Promise<void> {
         const { lingerMs } = settings.shutdown;
-        shutdown.write({ requested: true, lingersUntil: steadyNow() + lingerMs });
+        const requestedAt = steadyNow();
+        shutdown.write({
+            requested: true,
+            lingersUntil: requestedAt + lingerMs,
+            cutsAt: requestedAt + drainLimitMs(board),
+        });
         await new Promise(resolve => setTimeout(resolve, lingerMs));
         // The calls finish first, while the adapters that they depend on still work.
         for (const adapter of adapters.toReversed()) {
