fix(calls): callers that send a body slowly do not keep the link from others

A body kept its place in the window of the link until it had arrived. With the two places that a narrow link has in any case, two slow callers held back all other uploads to the host.

A turn ends after twice the time that the link needs for its window and the body; the body goes on arriving. A body is not left waiting either when its call was cancelled before its turn was asked for, and its memory is given back when its call fails by an error.

--- a/packages/core/src/admission/bodyWindow.ts
+++ b/packages/core/src/admission/bodyWindow.ts
@@ -77,6 +77,14 @@
     return (sizeOf(window.receiving) + sizeOf(ahead) + bytes) / window.bytesPerMs;
 }
 
+/**
+ * Time after which a body leaves the window although it has not arrived, in milliseconds: twice the time for the window and
+ * the body. A caller that sends slowly does not use the link, and must not keep it from others.
+ */
+export function longestTurnMs({ bytesPerMs }: BodyWindow, { bytes }: WaitingBody): number {
+    return 2 * (windowMs + bytes / bytesPerMs);
+}
+
 function hasRoom({ bytesPerMs, receiving }: BodyWindow, { bytes }: WaitingBody): boolean {
     return receiving.size < leastReceiving || sizeOf(receiving) + bytes <= bytesPerMs * windowMs;
 }
--- a/packages/daemon/features/steps/callFixture.ts
+++ b/packages/daemon/features/steps/callFixture.ts
@@ -101,6 +101,8 @@
     readonly entryWithout?: boolean;
     /** Time that a message between daemons takes, in milliseconds. */
     readonly linkMs?: number;
+    /** @default 1000 */
+    readonly linkMbps?: number;
 }
 
 export async function createDeployment({
@@ -108,6 +110,7 @@
     slots,
     entryWithout = false,
     linkMs = 0,
+    linkMbps = 1_000,
 }: DeploymentOptions): Promise<Deployment> {
     const ledger: Run[] = [];
     const broken = new Set<string>();
@@ -115,7 +118,9 @@
     const records = new Map<string, HostRecord>();
     for (let i = 0; i < count; i += 1) {
         const offers = !(entryWithout && i === 0);
-        hosts.push(await createHost(`h${i}`, { slots, offers, ledger, broken, records, hosts, linkMs }));
+        hosts.push(
+            await createHost(`h${i}`, { slots, offers, ledger, broken, records, hosts, linkMs, linkMbps }),
+        );
     }
     const publish = () => publishers.get(records)?.forEach(entry => entry());
     publish();
@@ -144,10 +149,11 @@
     readonly records: Map<string, HostRecord>;
     readonly hosts: TestHost[];
     readonly linkMs: number;
+    readonly linkMbps: number;
 }
 
 async function createHost(name: string, options: HostOptions): Promise<TestHost> {
-    const { slots, offers, ledger, broken, records } = options;
+    const { slots, offers, ledger, broken, records, linkMbps } = options;
     const loopback = { address: "127.0.0.1", port: 0 };
     const board = createBoard(
         {
@@ -163,7 +169,7 @@
             distances: defaultDistances,
             retries: { ratio: retryRatio, burst: retryBurst },
             shutdown: { lingerMs: 0, graceMs: undefined },
-            linkMbps: 1_000,
+            linkMbps,
             outsideCallers: true,
             log: { level: "info" },
             traces: { exporter: "none", url: undefined },
--- a/packages/daemon/features/steps/uploads.ts
+++ b/packages/daemon/features/steps/uploads.ts
@@ -20,6 +20,7 @@
 const deployments: Readonly<Record<string, DeploymentOptions>> = {
     "its own": { hosts: 1, slots: 1 },
     another: { hosts: 2, slots: 1, entryWithout: true },
+    "another, over a narrow link": { hosts: 2, slots: 1, entryWithout: true, linkMbps: 8 },
 };
 /** Parts in which a slow upload arrives. */
 const parts = 8;
@@ -36,6 +37,31 @@
     },
 );
 
+Given(
+    /^a call deployment with 1 slot and links of 8 Mbit\/s whose calls run on another host$/,
+    async function (this: World) {
+        const options = deployments["another, over a narrow link"] as DeploymentOptions;
+        this.deployment = await createDeployment(options);
+        this.uploads = [];
+    },
+);
+
+When(
+    "{int} uploads of {int} bytes arrive over {int} ms, and {int} uploads of {int} bytes come meanwhile",
+    { timeout: 20_000 },
+    async function (this: World, slow: number, bytes: number, ms: number, quick: number, quickBytes: number) {
+        const slowOnes = Array.from({ length: slow }, () => upload(this, bytes, ms));
+        await sleep((2 * ms) / parts);
+        await Promise.all(Array.from({ length: quick }, () => upload(this, quickBytes, 0)));
+        this.readsServedAt = performance.now();
+        await Promise.all(slowOnes);
+    },
+);
+
+Then("the later uploads are served before the slow ones have arrived", function (this: World) {
+    assert.ok(this.readsServedAt < this.uploadSentAt, "the uploads waited for slow callers");
+});
+
 /** Sends an upload in parts that are spread over a time. */
 function upload(world: World, bytes: number, overMs: number): Promise<void> {
     const content = randomBytes(bytes);
--- a/packages/daemon/features/uploads.feature
+++ b/packages/daemon/features/uploads.feature
@@ -24,6 +24,13 @@
             | 60000  |
             | 300000 |
 
+    # Guards against a link that stands idle because the callers whose bodies have their turn send slowly.
+    Scenario: Uploads of slow callers do not hold back those of others
+        Given a call deployment with 1 slot and links of 8 Mbit/s whose calls run on another host
+        When 4 uploads of 40000 bytes arrive over 4000 ms, and 3 uploads of 40000 bytes come meanwhile
+        Then the later uploads are served before the slow ones have arrived
+        And the uploads are served whole and ran once
+
     Scenario: Uploads that come together are received one after the other, and all are served
         Given a call deployment with 1 slot whose calls run on another host
         When 12 uploads of 200000 bytes come at once
--- a/packages/daemon/src/adapters/calls/bodyReceptions.ts
+++ b/packages/daemon/src/adapters/calls/bodyReceptions.ts
@@ -2,6 +2,7 @@
     BodyTurn,
     createBodyWindow,
     expectedBodyMs,
+    longestTurnMs,
     refusal,
     RefusalReason,
     releaseBody,
@@ -16,8 +17,10 @@
 
 /** The right to receive a body before its call gets a slot. */
 export interface BodyReception {
-    /** The body has arrived: lets the next one come. Its bytes are kept. */
-    arrived(): void;
+    /** Longest time until the next body may come, in milliseconds. */
+    readonly turnMs: number;
+    /** Lets the next body come, because this one has arrived or its turn took too long. Its bytes are kept. */
+    endTurn(): void;
     /** The call is over, and its bytes are gone. */
     close(): void;
 }
@@ -53,7 +56,8 @@
     function open(body: WaitingBody): BodyReception {
         let closed = false;
         return {
-            arrived: () => release(body),
+            turnMs: longestTurnMs(window, body),
+            endTurn: () => release(body),
             close() {
                 if (!closed) {
                     closed = true;
@@ -77,6 +81,9 @@
                     resolve(Right(open(body)));
                 });
                 control.onCancel(leave);
+                if (control.cancelled) {
+                    leave();
+                }
             }),
         [BodyTurn.Refused](body) {
             keptBytes -= body.bytes;
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -67,9 +67,7 @@
         return Left(received.extract() as Refusal);
     }
     // To send the body anew to another host would take longer than the wait here, so it may wait up to the deadline.
-    const outcome = await runInSlot(context, call, waiting);
-    received.unsafeCoerce().close();
-    return outcome;
+    return runInSlot(context, call, waiting).finally(() => received.unsafeCoerce().close());
 }
 
 /** Receives the body of a call before the call takes a slot, which would stand idle until the body has arrived. */
@@ -93,9 +91,11 @@
         return turn;
     }
     const reception = turn.unsafeCoerce();
+    const turnEnd = context.timers.after(reception.turnMs, () => reception.endTurn());
     call.onAdmitted();
     await call.body.receive(call.control);
-    reception.arrived();
+    turnEnd.cancel();
+    reception.endTurn();
     call.stages.bodyMs = context.now() - startedAt;
     if (call.control.cancelled) {
         reception.close();
