--- a/packages/core/features/steps/distribution.ts
+++ b/packages/core/features/steps/distribution.ts
@@ -35,7 +35,7 @@
 /** Route, service, caller and partner of `s0`, and those that `s0` needs to call `s2`. */
 const resourcesOfS0 = 7;
 
-interface World {
+export interface World {
     spread: Spread;
     reports: NetworkReport[];
     host: Distribution;
@@ -55,11 +55,11 @@
     return effects;
 }
 
-function receive(world: World, from: string, message: PeerMessage): Effects {
+export function receive(world: World, from: string, message: PeerMessage): Effects {
     return feed(world, { kind: InputKind.Message, incoming: { from, receivedAt: world.now, message } });
 }
 
-function updateOf(from: Version, to: Version, parts: readonly Part[] = to.parts): PeerMessage {
+export function updateOf(from: Version, to: Version, parts: readonly Part[] = to.parts): PeerMessage {
     const step: UpdateStep = {
         base: from.manifest.version,
         version: to.manifest.version,
@@ -104,7 +104,7 @@
 });
 
 /** Version 2 with one resource of the host replaced by the given bytes. */
-function replacePart(bytes: Uint8Array, references?: readonly string[]): Version {
+export function replacePart(bytes: Uint8Array, references?: readonly string[]): Version {
     const two = makeVersion(2);
     const name = "route/s0";
     const entry = two.manifest.entries[name];
@@ -115,7 +115,7 @@
     return { manifest, hash: manifestHashOf(manifest), parts: [...two.parts, { hash, bytes }] };
 }
 
-const route = () => JSON.parse(Buffer.from(bytesOf(makeVersion(2), "route/s0")).toString("utf8"));
+export const route = () => JSON.parse(Buffer.from(bytesOf(makeVersion(2), "route/s0")).toString("utf8"));
 
 const badVersions: Readonly<Record<string, () => Version>> = {
     "a wrong manifest hash": () => ({ ...makeVersion(2), hash: contentHash(Buffer.from("other")) }),
