--- a/packages/core/features/routing.feature
+++ b/packages/core/features/routing.feature
@@ -75,15 +75,3 @@
         Then "read" calls go to "far1,far2" and "write" calls to "near1,near2"
         And when the others refuse "read" calls too, no host is chosen, and the least wait is 200 ms
         And 150 ms later "read" calls go to "near1,near2" again
-
-    # Guards against an overloaded service whose hosts are asked in vain by all others, which costs more than its calls.
-    Scenario Outline: A refusal for a wait of <wait> ms holds until calls that may wait <allowed> ms can be taken again
-        Given routing targets of 2 hosts in the own domain and 2 in another region
-        When "near1" and "near2" refuse "read" calls, which may wait <allowed> ms, for a wait of <wait> ms
-        Then <before> ms later "read" calls go to "far1,far2", and <after> ms later to "near1,near2"
-
-        Examples:
-            | wait | allowed | before | after |
-            | 200  | 146     | 149    | 150   |
-            | 568  | 146     | 421    | 422   |
-            | 5000 | 146     | 999    | 1000  |
--- a/packages/core/src/admission/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -18,7 +18,7 @@
  * all of it, a queue of calls that run into their deadline stands in front of 12 slots, and 1% of the
  * calls are started in vain.
  */
-export const maxWaitShare = 0.5;
+const maxWaitShare = 0.5;
 /**
  * Share of that time which a call may always wait, so that slots do not stand empty between two calls where the run
  * alone takes up to the objective.
--- a/packages/core/src/routing/observation.ts
+++ b/packages/core/src/routing/observation.ts
@@ -57,12 +57,10 @@
 /** Longest time for which one refusal marks a host as saturated, in milliseconds. */
 const maxSaturationMs = 500;
 /**
- * Least time for which a refusal holds for other calls of its operation, in milliseconds: a call's usual run, in which a
- * host gives each of its slots to one more call.
+ * Time for which a refusal holds for other calls of its operation, in milliseconds: a call's usual run, in which a host
+ * gives each of its slots to one more call.
  */
 const fullMarkMs = 150;
-/** Longest such time, in milliseconds: callers that leave shorten a queue, too, and the host knows its wait by an average. */
-const maxFullMarkMs = 1_000;
 /** Operations of one host that are marked at a time; further ones are asked for. */
 const maxFullMarks = 64;
 /** Age at which the calls of others in a capacity report count half, in milliseconds. */
@@ -128,35 +126,15 @@
     }
 }
 
-export interface FullRefusal {
-    /** Wait that the host expected, in milliseconds. */
-    readonly waitMs: number;
-    /**
-     * Longest wait for which a call of the operation is taken, in milliseconds.
-     * @default Infinity
-     */
-    readonly allowedMs?: number;
-    /** Milliseconds since the epoch. */
-    readonly now: number;
-}
-
-/**
- * Notes that the host refused a call of the operation because it would have waited too long. A queue gets shorter by at
- * most its own time, so the host would refuse others until then.
- */
-export function noteFull(
-    seen: HostObservation,
-    operation: string,
-    { waitMs, allowedMs = Infinity, now }: FullRefusal,
-): void {
+/** Notes that the host refused a call of the operation because it would have waited too long. */
+export function noteFull(seen: HostObservation, operation: string, waitMs: number, now: number): void {
     for (const [marked, { until }] of seen.full) {
         if (until <= now) {
             seen.full.delete(marked);
         }
     }
     if (seen.full.has(operation) || seen.full.size < maxFullMarks) {
-        const holdsMs = Math.min(maxFullMarkMs, Math.max(fullMarkMs, waitMs - allowedMs));
-        seen.full.set(operation, { until: now + holdsMs, waitMs });
+        seen.full.set(operation, { until: now + fullMarkMs, waitMs });
     }
 }
 
--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -1,7 +1,6 @@
 import {
     AttemptFailure,
     defaultRetryAfterMs,
-    maxWaitShare,
     noteCapacity,
     noteEnd,
     noteFailure,
@@ -86,12 +85,7 @@
         noteRefusal(seen, context.now(), { saturated: saysSaturated(reason), retryAfterMs });
         // The own host decides on each call without a hop.
         if (reason === RefusalReason.WaitTooLong && tier !== Tier.OwnHost) {
-            const { matched } = attempt.call;
-            noteFull(seen, callGroup(matched), {
-                waitMs: retryAfterMs,
-                allowedMs: maxWaitShare * matched.latencyObjectiveMs,
-                now: context.now(),
-            });
+            noteFull(seen, callGroup(attempt.call.matched), retryAfterMs, context.now());
         }
     } else if (outcome.failure !== undefined && attempt.control.reason !== callerLeft) {
         noteFailure(seen, context.now());
