--- a/packages/core/features/distribution.feature
+++ b/packages/core/features/distribution.feature
@@ -93,20 +93,6 @@
         When two neighbours announce version 2 and do not answer
         Then both are pulled from in turn and the object store is read last
 
-    # Guards against narrow links that carry a large version once for each neighbour, so that it comes into force late.
-    @in-force-everywhere
-    Scenario Outline: A version whose new parts have <kilobytes> kB is <sent> to a neighbour that lacks it
-        Given a distributing host that holds version 1
-        When a neighbour on version 1 looks on while another sends it version 2 with <kilobytes> kB of new parts
-        Then the version is <sent> to the neighbour that looks on, and sent when that one pulls
-
-        Examples:
-            | kilobytes | sent      |
-            | 1         | pushed    |
-            | 15        | pushed    |
-            | 20        | announced |
-            | 200       | announced |
-
     Scenario: Snapshots in progress are bounded
         # Guards against a relay that serves a whole rejoining failure domain at once.
         Given a distributing host that holds version 1
--- a/packages/core/features/steps/distribution.ts
+++ b/packages/core/features/steps/distribution.ts
@@ -35,7 +35,7 @@
 /** Route, service, caller and partner of `s0`, and those that `s0` needs to call `s2`. */
 const resourcesOfS0 = 7;
 
-export interface World {
+interface World {
     spread: Spread;
     reports: NetworkReport[];
     host: Distribution;
@@ -55,11 +55,11 @@
     return effects;
 }
 
-export function receive(world: World, from: string, message: PeerMessage): Effects {
+function receive(world: World, from: string, message: PeerMessage): Effects {
     return feed(world, { kind: InputKind.Message, incoming: { from, receivedAt: world.now, message } });
 }
 
-export function updateOf(from: Version, to: Version, parts: readonly Part[] = to.parts): PeerMessage {
+function updateOf(from: Version, to: Version, parts: readonly Part[] = to.parts): PeerMessage {
     const step: UpdateStep = {
         base: from.manifest.version,
         version: to.manifest.version,
@@ -104,7 +104,7 @@
 });
 
 /** Version 2 with one resource of the host replaced by the given bytes. */
-export function replacePart(bytes: Uint8Array, references?: readonly string[]): Version {
+function replacePart(bytes: Uint8Array, references?: readonly string[]): Version {
     const two = makeVersion(2);
     const name = "route/s0";
     const entry = two.manifest.entries[name];
@@ -115,7 +115,7 @@
     return { manifest, hash: manifestHashOf(manifest), parts: [...two.parts, { hash, bytes }] };
 }
 
-export const route = () => JSON.parse(Buffer.from(bytesOf(makeVersion(2), "route/s0")).toString("utf8"));
+const route = () => JSON.parse(Buffer.from(bytesOf(makeVersion(2), "route/s0")).toString("utf8"));
 
 const badVersions: Readonly<Record<string, () => Version>> = {
     "a wrong manifest hash": () => ({ ...makeVersion(2), hash: contentHash(Buffer.from("other")) }),
--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -89,9 +89,3 @@
 
 /** Period at which an unanswered watermark request is repeated, in milliseconds. */
 export const watermarkRetryMs = 1_000;
-
-/**
- * Bytes of the parts of an update up to which it is sent to all neighbours unasked; a larger one is announced. Five copies
- * take a tenth of a second on a link of 6 Mbit/s.
- */
-export const maxPushedBytes = 16_384;
--- a/packages/core/src/distribution/serving.ts
+++ b/packages/core/src/distribution/serving.ts
@@ -1,9 +1,4 @@
-import {
-    maxPushedBytes,
-    maxSnapshotsInProgress,
-    maxSnapshotsWaiting,
-    snapshotDeadlineMs,
-} from "../constants.js";
+import { maxSnapshotsInProgress, maxSnapshotsWaiting, snapshotDeadlineMs } from "../constants.js";
 import { MessageKind, type Part, type PeerMessage } from "../messages/peerMessage.js";
 import { EventLevel } from "../telemetry/event.js";
 import { chainFrom, partsOfChain } from "./keptSteps.js";
@@ -21,13 +16,11 @@
             groups.set(base, [...(groups.get(base) ?? []), link.host]);
         }
     }
-    const pushed: string[] = [];
     for (const [base, hosts] of groups) {
-        const update = base < 0 ? undefined : smallUpdateFrom(state, base);
-        const message = update ?? announceHeld(state);
+        const message = base < 0 ? announceHeld(state) : updateFrom(state, base);
         hosts.forEach(host => context.effects.messages.push({ to: { host }, message }));
-        pushed.push(...(update === undefined ? [] : hosts));
     }
+    const pushed = [...groups].flatMap(([base, hosts]) => (base < 0 ? [] : hosts));
     return { ...state, known: new Map([...state.known, ...pushed.map(host => [host, version] as const)]) };
 }
 
@@ -45,22 +38,12 @@
     return { kind: MessageKind.Announce, version: heldVersion(state), manifestHash };
 }
 
-function updateFrom(
-    state: Distribution,
-    base: number,
-): Extract<PeerMessage, { kind: typeof MessageKind.Update }> {
+function updateFrom(state: Distribution, base: number): PeerMessage {
     const steps = chainFrom(state.kept, base) ?? [];
     const known = new Map([...(state.held?.parts ?? []), ...state.kept.parts]);
     return { kind: MessageKind.Update, steps, parts: partsOfChain(steps, known) };
 }
 
-/** An update that may be sent unasked. Each of its neighbours pushes a version to a host, which needs it once. */
-function smallUpdateFrom(state: Distribution, base: number): PeerMessage | undefined {
-    const update = updateFrom(state, base);
-    const bytes = update.parts.reduce((sum, part) => sum + part.bytes.length, 0);
-    return bytes > maxPushedBytes ? undefined : update;
-}
-
 /** Answers a pull: a chain, else a snapshot, else what this host holds so that the peer asks elsewhere. */
 export function answerPull(state: Distribution, context: Context, from: string, held: number): Distribution {
     const send = (message: PeerMessage) => context.effects.messages.push({ to: { host: from }, message });
