fix(calls): a body received for one attempt waits for the admission of the next

An upload that its own host had received and then refused, as when its backend server had left meanwhile, was sent whole to the next host before that had admitted it: that the body had been received, and that it was committed, held for all later attempts. Receiving belongs to the attempt now, and commits a body only where another daemon waits to send it. The received chunks are kept as one buffer, not twice.

--- a/packages/daemon/features/steps/uploads.ts
+++ b/packages/daemon/features/steps/uploads.ts
@@ -6,14 +6,23 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { call, type Answer } from "./callClient.js";
 import { createDeployment, type DeploymentOptions } from "./callFixture.js";
-import { entryOf, hashIn, hashOf, hostOf, resultOf, runsOf, type World as CallWorld } from "./callWorld.js";
+import {
+    entryOf,
+    hashIn,
+    hashOf,
+    hostOf,
+    resultOf,
+    runsOf,
+    type Answered,
+    type World as CallWorld,
+} from "./callWorld.js";
 
 interface World extends CallWorld {
-    uploads: { readonly callId: string; readonly hash: string; status: number; body: string }[];
-    /** When the reads were served, and when the last byte of the upload was sent. */
-    readsServedAt: number;
+    uploads: { readonly callId: string; readonly hash: string; answer: Answer | undefined }[];
+    /** When the calls beside the slow upload were served, and when the last byte of that upload was sent. */
+    othersServedAt: number;
     uploadSentAt: number;
-    received: Answer & { callId: string };
+    received: Answered;
     hopSockets: Set<Socket>;
 }
 
@@ -24,24 +33,30 @@
 /** Parts in which a slow upload arrives. */
 const parts = 8;
 
+/** Opens a deployment and follows the connections at which its last host gets calls of others. */
+async function open(world: World, options: DeploymentOptions): Promise<void> {
+    world.deployment = await createDeployment(options);
+    world.uploads = [];
+    world.hopSockets = new Set();
+    const { peer } = hostOf(world, world.deployment.hosts.length - 1);
+    peer.on("connection", (socket: Socket) => world.hopSockets.add(socket));
+}
+
 Given(
     /^a call deployment with 1 slot whose calls run on (its own|another) host$/,
-    async function (this: World, where) {
-        this.deployment = await createDeployment(deployments[where as string] as DeploymentOptions);
-        this.uploads = [];
-        this.hopSockets = new Set();
-        hostOf(this, this.deployment.hosts.length - 1).peer.on("connection", (socket: Socket) =>
-            this.hopSockets.add(socket),
-        );
+    function (this: World, where: string) {
+        return open(this, deployments[where] as DeploymentOptions);
     },
 );
 
+Given("a call deployment with 1 slot whose calls run on its own host before another", function (this: World) {
+    return open(this, { hosts: 2, slots: 1 });
+});
+
 Given(
     /^a call deployment with 1 slot and links of ([\d.]+) Mbit\/s whose calls run on another host$/,
-    async function (this: World, linkMbps: string) {
-        const options = deployments["another"] as DeploymentOptions;
-        this.deployment = await createDeployment({ ...options, linkMbps: Number(linkMbps) });
-        this.uploads = [];
+    function (this: World, linkMbps: string) {
+        return open(this, { ...(deployments["another"] as DeploymentOptions), linkMbps: Number(linkMbps) });
     },
 );
 
@@ -52,19 +67,23 @@
         const slowOnes = Array.from({ length: slow }, () => upload(this, bytes, ms));
         await sleep((2 * ms) / parts);
         await Promise.all(Array.from({ length: quick }, () => upload(this, quickBytes, 0)));
-        this.readsServedAt = performance.now();
+        this.othersServedAt = performance.now();
         await Promise.all(slowOnes);
     },
 );
 
 Then("the later uploads are served before the slow ones have arrived", function (this: World) {
-    assert.ok(this.readsServedAt < this.uploadSentAt, "the uploads waited for slow callers");
+    assert.ok(this.othersServedAt < this.uploadSentAt, "the uploads waited for slow callers");
 });
 
 /** Sends an upload in parts that are spread over a time. */
 function upload(world: World, bytes: number, overMs: number): Promise<void> {
     const content = randomBytes(bytes);
-    const sent = { callId: randomUUID(), hash: hashOf(content), status: 0, body: "" };
+    const sent: World["uploads"][number] = {
+        callId: randomUUID(),
+        hash: hashOf(content),
+        answer: undefined,
+    };
     world.uploads.push(sent);
     return new Promise((resolve, reject) => {
         const request = send({
@@ -81,9 +100,13 @@
         });
         request.once("error", reject);
         request.once("response", response => {
-            sent.status = response.statusCode ?? 0;
-            response.on("data", (chunk: Buffer) => (sent.body += chunk.toString()));
-            response.once("end", resolve);
+            const chunks: Buffer[] = [];
+            response.on("data", (chunk: Buffer) => chunks.push(chunk));
+            response.once("end", () => {
+                const { statusCode: status = 0, headers } = response;
+                sent.answer = { status, headers, body: Buffer.concat(chunks), reset: false };
+                resolve();
+            });
         });
         void (async () => {
             for (let part = 0; part < parts; part += 1) {
@@ -105,19 +128,20 @@
         for (let at = 0; at < reads; at += 1) {
             assert.equal(resultOf(await call(entryOf(this), { path: "/x" })), "completed");
         }
-        this.readsServedAt = performance.now();
+        this.othersServedAt = performance.now();
         await done;
     },
 );
 
 Then("the reads are served before the upload has arrived", function (this: World) {
-    assert.ok(this.readsServedAt < this.uploadSentAt, "the reads waited for the upload");
+    assert.ok(this.othersServedAt < this.uploadSentAt, "the reads waited for the upload");
 });
 
 function assertServed(world: World): void {
-    for (const { callId, hash, status, body } of world.uploads) {
-        assert.equal(status, 200);
-        assert.equal(hashIn({ body: Buffer.from(body) } as Answer), hash);
+    for (const { callId, hash, answer } of world.uploads) {
+        assert.ok(answer !== undefined);
+        assert.equal(answer.status, 200);
+        assert.equal(hashIn(answer), hash);
         assert.equal(runsOf(world, callId).length, 1);
     }
 }
@@ -146,6 +170,19 @@
     },
 );
 
+When(
+    "the backend servers of both hosts go while an upload of {int} bytes arrives over {int} ms",
+    async function (this: World, bytes: number, ms: number) {
+        const done = upload(this, bytes, ms);
+        await sleep(ms / 2);
+        this.deployment.hosts.forEach(host =>
+            host.setServer({ state: "draining", drainingSince: Date.now() }),
+        );
+        await done;
+        this.received = this.uploads[0]?.answer as Answered;
+    },
+);
+
 Then(
     "the upload is refused as not run, and the other host received at most {int} bytes for it",
     function (this: World, most: number) {
--- a/packages/daemon/features/uploads.feature
+++ b/packages/daemon/features/uploads.feature
@@ -24,6 +24,14 @@
             | 60000  |
             | 300000 |
 
+    # Guards against bodies that were received for a refused attempt on the own host and are then sent to the next one
+    # before that has admitted the call.
+    @not-run-is-true
+    Scenario: An upload that its own host refuses once it has arrived does not cross the link for another refusal
+        Given a call deployment with 1 slot whose calls run on its own host before another
+        When the backend servers of both hosts go while an upload of 60000 bytes arrives over 400 ms
+        Then the upload is refused as not run, and the other host received at most 8000 bytes for it
+
     # Guards against a link that stands idle because the callers whose bodies have their turn send slowly.
     Scenario: Uploads of slow callers do not hold back those of others
         Given a call deployment with 1 slot and links of 8 Mbit/s whose calls run on another host
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -38,7 +38,10 @@
     readonly stages: StageTimes;
     /** Whether its body comes from another daemon, which sends it once it hears of `onAdmitted`. */
     readonly awaitsBody: boolean;
-    /** The rest of the body may come, or the call is about to be written to a backend server; called once or twice. */
+    /**
+     * The rest of the body may come from the other daemon, or the call is about to be written to a backend server. Called for
+     * each of the two.
+     */
     readonly onAdmitted: () => void;
     readonly onHead: (status: number, rawHeaders: string[]) => ResponseSink;
 }
@@ -92,7 +95,9 @@
     }
     const reception = turn.unsafeCoerce();
     const turnEnd = context.timers.after(reception.turnMs, () => reception.endTurn());
-    call.onAdmitted();
+    if (call.awaitsBody) {
+        call.onAdmitted();
+    }
     await call.body.receive(call.control);
     turnEnd.cancel();
     reception.endTurn();
--- a/packages/daemon/src/adapters/calls/requestBody.ts
+++ b/packages/daemon/src/adapters/calls/requestBody.ts
@@ -129,9 +129,8 @@
     const iterator = request.iterator({ destroyOnReturn: false }) as AsyncIterator<Buffer>;
     const body = createArrivedBody(iterator, maxBytes);
     const { kept } = body;
-    let whole: Buffer | undefined;
-    /** Whether `whole` may be sent in one piece although it is not small. */
-    let isReceived = false;
+    /** A body so small that it is sent before the admission, when it came whole with the head. */
+    let small: Buffer | undefined;
     let committed = false;
     let trimmed = false;
 
@@ -139,13 +138,16 @@
         const arrived = declaredBytes > keptBodyBytes ? noBytes : await readArrived(request);
         body.received += arrived.length;
         kept.push(arrived);
-        whole = body.received === declaredBytes ? arrived : undefined;
+        const isSmall = body.received === declaredBytes && arrived.length <= eagerBodyBytes;
+        small = isSmall ? arrived : undefined;
     }
 
     function open(): BodyAttempt {
-        if (whole !== undefined && whole.length <= eagerBodyBytes) {
-            return { ...absentAttempt, chunks: whole };
+        if (small !== undefined) {
+            return { ...absentAttempt, chunks: small };
         }
+        /** The body, when this attempt has received all of it. */
+        let whole: Buffer | undefined;
         let openGate: () => void = () => undefined;
         const gate = new Promise<void>(resolve => (openGate = resolve));
         let closed = false;
@@ -185,9 +187,15 @@
         return {
             missingBytes: declaredBytes,
             get chunks() {
-                return isReceived && whole !== undefined ? whole : send();
+                return whole ?? send();
+            },
+            async receive(cancellation) {
+                await body.readAll(cancellation);
+                if (body.ended && body.received === declaredBytes) {
+                    whole = Buffer.concat(kept);
+                    kept.splice(0, kept.length, whole);
+                }
             },
-            receive,
             commit() {
                 committed = true;
                 openGate();
@@ -205,12 +213,6 @@
         }
     }
 
-    async function receive(cancellation: Cancellation): Promise<void> {
-        await body.readAll(cancellation);
-        whole = body.ended && body.received === declaredBytes ? Buffer.concat(kept) : undefined;
-        isReceived = true;
-    }
-
     return {
         open,
         takeArrived,
