refactor(admission): one decision for calls and for calls whose body is awaited

refusalBeforeBody repeated the checks of requestAdmission; both ask expectSlot now. The window of bodies is created with the blackboard and not once more by its owner. Steps share the deployments by the host on which calls run.

--- a/packages/core/src/admission/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -1,3 +1,4 @@
+import { Left, Right, type Either } from "purify-ts/Either";
 import { refusal, RefusalReason, type Refusal } from "../calls/refusal.js";
 import type { Service } from "../configuration/resource.js";
 import { hasLease } from "./announcement.js";
@@ -130,22 +131,16 @@
     capacities: readonly Capacity[],
     now: number,
 ): AdmissionDecision {
-    if (capacities.length === 0) {
-        return refuse(RefusalReason.NoBackendServer);
-    }
-    if (call.deadline <= now) {
-        return refuse(RefusalReason.DeadlinePassed);
-    }
-    const server = state.queued === 0 ? freeServer(state, capacities) : undefined;
-    if (server !== undefined) {
-        takeSlot(state, call.partner, server);
-        return { kind: AdmissionKind.Admitted, server };
-    }
-    const waitMs = expectedWaitMs(state, call, capacities);
-    if (waitMs > longestWaitMs(state, call, now)) {
-        return refuse(RefusalReason.WaitTooLong, waitMs);
-    }
-    return enqueue(state, call, waitMs);
+    return expectSlot(state, call, capacities, { now, bodyMs: 0 }).caseOf<AdmissionDecision>({
+        Left: refused => ({ kind: AdmissionKind.Refused, refusal: refused }),
+        Right({ server, waitMs }) {
+            if (server === undefined) {
+                return enqueue(state, call, waitMs);
+            }
+            takeSlot(state, call.partner, server);
+            return { kind: AdmissionKind.Admitted, server };
+        },
+    });
 }
 
 /**
@@ -157,17 +152,35 @@
     state: ServiceAdmission,
     call: WaitingCall,
     capacities: readonly Capacity[],
-    { now, bodyMs }: { readonly now: number; readonly bodyMs: number },
+    times: { readonly now: number; readonly bodyMs: number },
 ): Refusal | undefined {
+    return expectSlot(state, call, capacities, times).swap().toMaybe().extract();
+}
+
+interface ExpectedSlot {
+    /** The backend server with a free slot, if there is one. */
+    readonly server: BackendServer | undefined;
+    /** Time until the call gets a slot and its body the link, in milliseconds. */
+    readonly waitMs: number;
+}
+
+function expectSlot(
+    state: ServiceAdmission,
+    call: WaitingCall,
+    capacities: readonly Capacity[],
+    { now, bodyMs }: { readonly now: number; readonly bodyMs: number },
+): Either<Refusal, ExpectedSlot> {
     if (capacities.length === 0) {
-        return refusal(RefusalReason.NoBackendServer);
+        return Left(refusal(RefusalReason.NoBackendServer));
     }
     if (call.deadline <= now) {
-        return refusal(RefusalReason.DeadlinePassed);
+        return Left(refusal(RefusalReason.DeadlinePassed));
     }
-    const isFree = state.queued === 0 && freeServer(state, capacities) !== undefined;
-    const waitMs = Math.max(bodyMs, isFree ? 0 : expectedWaitMs(state, call, capacities));
-    return waitMs > longestWaitMs(state, call, now) ? refusal(RefusalReason.WaitTooLong, waitMs) : undefined;
+    const server = state.queued === 0 ? freeServer(state, capacities) : undefined;
+    const waitMs = Math.max(bodyMs, server === undefined ? expectedWaitMs(state, call, capacities) : 0);
+    return waitMs > 0 && waitMs > longestWaitMs(state, call, now)
+        ? Left(refusal(RefusalReason.WaitTooLong, waitMs))
+        : Right({ server, waitMs });
 }
 
 /** Time for which a call may wait and still be answered in time, as far as its operation is known. */
--- a/packages/daemon/features/steps/callFixture.ts
+++ b/packages/daemon/features/steps/callFixture.ts
@@ -105,6 +105,12 @@
     readonly linkMbps?: number;
 }
 
+/** Deployments by the host on which calls of host 0 run. */
+export const placements: Readonly<Record<string, Pick<DeploymentOptions, "hosts" | "entryWithout">>> = {
+    "its own": { hosts: 1 },
+    another: { hosts: 2, entryWithout: true },
+};
+
 export async function createDeployment({
     hosts: count,
     slots,
--- a/packages/daemon/features/steps/graces.ts
+++ b/packages/daemon/features/steps/graces.ts
@@ -2,19 +2,23 @@
 import { steadyNow } from "@tanagertray/daemon/steadyClock";
 import assert from "node:assert/strict";
 import { call } from "./callClient.js";
-import { createDeployment, type DeploymentOptions } from "./callFixture.js";
+import { createDeployment, placements, type DeploymentOptions } from "./callFixture.js";
 import { entryOf, eventually, hostOf, resultOf, type World } from "./callWorld.js";
 
-/** Deployments by the host on which calls of host 0 run. */
-const deployments: Readonly<Record<string, DeploymentOptions>> = {
-    "its own": { hosts: 1, slots: 20 },
-    another: { hosts: 2, slots: 20, entryWithout: true, linkMs: 12 },
-};
+/** Time of a message between daemons in two regions, in milliseconds. */
+const linkMs = 12;
 
-Given(/^a call deployment whose calls run on (its own|another) host$/, async function (this: World, where) {
-    this.deployment = await createDeployment(deployments[where as string] as DeploymentOptions);
-    this.answers = [];
-});
+Given(
+    /^a call deployment whose calls run on (its own|another) host$/,
+    async function (this: World, where: string) {
+        this.deployment = await createDeployment({
+            ...placements[where],
+            slots: 20,
+            linkMs,
+        } as DeploymentOptions);
+        this.answers = [];
+    },
+);
 
 When(
     "the daemon stops with {int} calls in flight that never end",
--- a/packages/daemon/features/steps/uploads.ts
+++ b/packages/daemon/features/steps/uploads.ts
@@ -5,7 +5,7 @@
 import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { call, type Answer } from "./callClient.js";
-import { createDeployment, type DeploymentOptions } from "./callFixture.js";
+import { createDeployment, placements, type DeploymentOptions } from "./callFixture.js";
 import {
     entryOf,
     hashIn,
@@ -26,10 +26,6 @@
     hopSockets: Set<Socket>;
 }
 
-const deployments: Readonly<Record<string, DeploymentOptions>> = {
-    "its own": { hosts: 1, slots: 1 },
-    another: { hosts: 2, slots: 1, entryWithout: true },
-};
 /** Parts in which a slow upload arrives. */
 const parts = 8;
 
@@ -45,7 +41,7 @@
 Given(
     /^a call deployment with 1 slot whose calls run on (its own|another) host$/,
     function (this: World, where: string) {
-        return open(this, deployments[where] as DeploymentOptions);
+        return open(this, { ...placements[where], slots: 1 } as DeploymentOptions);
     },
 );
 
@@ -56,7 +52,7 @@
 Given(
     /^a call deployment with 1 slot and links of ([\d.]+) Mbit\/s whose calls run on another host$/,
     function (this: World, linkMbps: string) {
-        return open(this, { ...(deployments["another"] as DeploymentOptions), linkMbps: Number(linkMbps) });
+        return open(this, { hosts: 2, slots: 1, entryWithout: true, linkMbps: Number(linkMbps) });
     },
 );
 
--- a/packages/daemon/src/adapters/calls/bodyReceptions.ts
+++ b/packages/daemon/src/adapters/calls/bodyReceptions.ts
@@ -1,7 +1,6 @@
 import {
     BodyTurn,
     bodyWaitMs,
-    createBodyWindow,
     longestTurnMs,
     refusal,
     RefusalReason,
@@ -38,10 +37,10 @@
     count(): number;
 }
 
-/** Hands out turns on the link for request bodies and writes the `bodyWindow` section. */
+/** Hands out turns on the link for request bodies and changes the `bodyWindow` section. */
 export function createBodyReceptions(board: Board): BodyReceptions {
-    const window = createBodyWindow(board.read("settings").linkMbps);
-    board.claimValue("bodyWindow").write(window);
+    board.claimValue("bodyWindow");
+    const window = board.read("bodyWindow");
     const turns = new Map<WaitingBody, () => void>();
     let keptBytes = 0;
 
