perf(calls): a call waits for the events of its turn only when they may be old

Cause: since each exchange waits for the check phase of its turn, so that the close of its caller is read first; undici then waits another turn before it uses a connection again. An idle loop goes through epoll once for each: strace counts 3.3 epoll_pwait for each call at a daemon.

--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -158,6 +158,7 @@
         body: call.body.chunks,
         cancellation: call.control,
         timers: context.timers,
+        eventsRead: context.arrivals.eventsRead,
         headSilenceMs: 0,
         bodySilenceMs,
         mayWrite,
