--- a/packages/daemon/features/calls.feature
+++ b/packages/daemon/features/calls.feature
@@ -122,19 +122,6 @@
         When the last tick of the clock came 250 ms ago
         Then a request that the loop says has just arrived counts as arrived 150 ms before
 
-    # Guards against calls that are sent before the close of their caller is read, and against a turn that no call needs.
-    Scenario Outline: A call waits for the other events of its turn only when they may be old
-        Given an event loop that is always busy, with turns that end at 100 and 200 ms
-        When the loop waits from 200 ms for <idle> ms
-        Then a call that is sent at <sent> ms waits for the events of its turn: <waits>
-
-        Examples:
-            | idle | sent | waits |
-            | 0    | 210  | yes   |
-            | 50   | 260  | no    |
-            | 50   | 349  | no    |
-            | 50   | 350  | yes   |
-
     # Guards against connections that wait in a row to be accepted, of which a listener accepts one in each turn.
     @not-run-is-true
     Scenario: A connection counts as arrived before those that were accepted right before it
--- a/packages/daemon/features/steps/answerEnds.ts
+++ b/packages/daemon/features/steps/answerEnds.ts
@@ -1,7 +1,6 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { createCancellation } from "@tanagertray/daemon/adapters/calls/cancellation";
 import { exchange, type ExchangeResult } from "@tanagertray/daemon/adapters/calls/exchange";
-import { untilEventsRead } from "@tanagertray/daemon/adapters/calls/pendingEvents";
 import { createPools, type Pools } from "@tanagertray/daemon/adapters/calls/pools";
 import { ReceptionKind, type ResponseSink } from "@tanagertray/daemon/adapters/calls/reception";
 import type { Timers } from "@tanagertray/daemon/adapters/calls/timers";
@@ -77,7 +76,6 @@
         body: null,
         cancellation: createCancellation(),
         timers,
-        eventsRead: untilEventsRead,
         headSilenceMs: 0,
         bodySilenceMs: 5_000,
         mayWrite: () => true,
--- a/packages/daemon/features/steps/answers.ts
+++ b/packages/daemon/features/steps/answers.ts
@@ -1,7 +1,6 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { createCancellation } from "@tanagertray/daemon/adapters/calls/cancellation";
 import { exchange } from "@tanagertray/daemon/adapters/calls/exchange";
-import { untilEventsRead } from "@tanagertray/daemon/adapters/calls/pendingEvents";
 import { createPools } from "@tanagertray/daemon/adapters/calls/pools";
 import { ReceptionKind } from "@tanagertray/daemon/adapters/calls/reception";
 import { createTimers } from "@tanagertray/daemon/adapters/calls/timers";
@@ -197,7 +196,6 @@
             body: null,
             cancellation: createCancellation(),
             timers: createTimers(this.deployment.hosts[0]?.board as Board, Date.now),
-            eventsRead: untilEventsRead,
             headSilenceMs: 0,
             bodySilenceMs: 0,
             mayWrite: () => true,
--- a/packages/daemon/features/steps/arrivals.ts
+++ b/packages/daemon/features/steps/arrivals.ts
@@ -59,14 +59,6 @@
     },
 );
 
-Then(
-    "a call that is sent at {int} ms waits for the events of its turn: {word}",
-    function (this: World, sentAt: number, waits: string) {
-        this.loop.now = sentAt;
-        assert.equal(this.arrivals.eventsRead() === undefined ? "no" : "yes", waits);
-    },
-);
-
 When("the loop waits from {int} ms for {int} ms", function (this: World, from: number, forMs: number) {
     this.loop.now = from + forMs;
     this.loop.idleMs += forMs;
--- a/packages/daemon/src/adapters/calls/arrivals.ts
+++ b/packages/daemon/src/adapters/calls/arrivals.ts
@@ -3,8 +3,6 @@
 import type { Board } from "../../board.js";
 import type { Closeable } from "../../closeable.js";
 import { steadyNow } from "../../steadyClock.js";
-import { lateReadMs } from "./constants.js";
-import { untilEventsRead } from "./pendingEvents.js";
 
 /** Tells how long a request that is read now can have waited in the buffers of its socket. */
 export interface Arrivals extends Closeable {
@@ -14,11 +12,6 @@
     earliest(socket: Socket): number;
     /** Resolves once all sockets have been polled again. */
     polledAgain(): Promise<void>;
-    /**
-     * Resolves once the events of this turn have been read. `undefined` while they are so recent that nobody can have left
-     * long before: the wait costs each call a turn of the event loop.
-     */
-    eventsRead(): Promise<void> | undefined;
 }
 
 /** What is measured of the event loop. */
@@ -146,7 +139,6 @@
         },
         // The first task still belongs to the turn whose poll has been.
         polledAgain: () => new Promise(resolve => setImmediate(() => setImmediate(resolve))),
-        eventsRead: () => (now() - lastPoll() < lateReadMs ? undefined : untilEventsRead()),
         close: () => subscription.close(),
     };
 }
--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -195,7 +195,6 @@
         body: body.chunks,
         cancellation: attempt.control,
         timers: context.timers,
-        eventsRead: context.arrivals.eventsRead,
         headSilenceMs: hopSilenceMs,
         bodySilenceMs,
         mayWrite() {
--- a/packages/daemon/src/adapters/calls/constants.ts
+++ b/packages/daemon/src/adapters/calls/constants.ts
@@ -66,8 +66,3 @@
  * and may see it pass a tick of the clock before the entry daemon does.
  */
 export const leastAttemptMs = 120;
-/**
- * Age of what is read now from which a caller may have left unnoticed, in milliseconds. Below it a call is started at most
- * this much after its caller left.
- */
-export const lateReadMs = 100;
--- a/packages/daemon/src/adapters/calls/exchange.ts
+++ b/packages/daemon/src/adapters/calls/exchange.ts
@@ -4,6 +4,7 @@
 import { mayCarry, type Connection, type TracedDispatch } from "./connections.js";
 import { maxBytesWithoutBody, maxRefusalBytes, maxResponseBytes, refusalRestMs } from "./constants.js";
 import { headerValues } from "./headers.js";
+import { untilEventsRead } from "./pendingEvents.js";
 import type { Connections } from "./pools.js";
 import { bodilessStatuses, causeInHead, type ReceivedHead } from "./receivedHead.js";
 import { ReceptionKind, type Reception, type Rejection, type ResponseSink } from "./reception.js";
@@ -39,8 +40,6 @@
     /** Ends the exchange: the caller left, or the deadline passed. */
     readonly cancellation: Cancellation;
     readonly timers: Timers;
-    /** Waited for before anything is sent, where events of this turn may say that the caller left. */
-    readonly eventsRead: () => Promise<void> | undefined;
     /** Silence before the response head, in milliseconds; 0 for no limit but the signal. */
     readonly headSilenceMs: number;
     readonly bodySilenceMs: number;
@@ -101,7 +100,7 @@
 
 /** Sends one request and passes on its response, each with back-pressure. */
 export async function exchange(options: ExchangeOptions): Promise<ExchangeResult> {
-    await options.eventsRead();
+    await untilEventsRead();
     if (options.id !== undefined) {
         const result = await exchangeOn(options.connections.dispatcher, options);
         if (result.error !== unusable) {
--- a/packages/daemon/src/adapters/calls/incoming.ts
+++ b/packages/daemon/src/adapters/calls/incoming.ts
@@ -14,7 +14,7 @@
 import { tickMs } from "../clock.js";
 import type { Arrivals } from "./arrivals.js";
 import { createCancellation, type Cancellation } from "./cancellation.js";
-import { lateReadMs, maxCallsInProgress, stallMs } from "./constants.js";
+import { maxCallsInProgress, stallMs } from "./constants.js";
 import type { CallContext } from "./context.js";
 import type { DialectMatch } from "./dialect.js";
 import { readRequestHead, type RequestHead } from "./headers.js";
@@ -247,6 +247,12 @@
     };
 }
 
+/**
+ * Age at which a request is read from which its caller may have left, in milliseconds. Below it a call is started at most
+ * this much after that.
+ */
+const lateReadMs = 100;
+
 /**
  * Cancels a call that was read late if its caller has closed the connection. What is read first is the request; the close
  * shows at the next poll. Other calls wait for nothing.
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -158,7 +158,6 @@
         body: call.body.chunks,
         cancellation: call.control,
         timers: context.timers,
-        eventsRead: context.arrivals.eventsRead,
         headSilenceMs: 0,
         bodySilenceMs,
         mayWrite,
