fix(calls): a call that was read after a quarter of its time is refused at once

Cause, first part: processors are used up after the return, since all connections and all processes are new. A daemon reads each call late and carries it in the order in which it came, mostly after its client has given up; clients repeat. Class: metastable overload, work in vain keeps up the load that makes it vain.

Change: an entry daemon refuses a call that it read after a quarter of the time until its deadline, with the same time as Retry-After, and leaves a line call.unserved with readAfterMs. The decision is in core. The step that looks at a refusal takes the status of its reason from the table of statuses, as 504 holds for one reason only.

Before: admission.feature "still serves what it can", replays of 150 to 300% of what a processor carries, less than 25% of it useful. After: at least 50%.

--- a/packages/core/features/admission.feature
+++ b/packages/core/features/admission.feature
@@ -90,3 +90,30 @@
             | slots       | "4"                    | invalid |
             | load        | 2                      | invalid |
             | load        | 0.5                    | valid   |
+
+    # Guards against calls that are carried although their callers have mostly given up, and against refusals without need.
+    @not-run-is-true
+    Scenario Outline: A call that is read late is refused when a quarter of its time has passed
+        When a call with <deadline> ms is read <late> ms late
+        Then the late call is <outcome>
+
+        Examples:
+            | deadline | late | outcome                |
+            | 1200     | 0    | taken                             |
+            | 1200     | 300  | taken                             |
+            | 1200     | 301  | refused as overloaded for 301 ms     |
+            | 400      | 140  | refused as overloaded for 140 ms     |
+            | 400      | 400  | refused as deadlinePassed for 200 ms |
+            | 30000    | 1000 | taken                             |
+
+    # Guards against RECOVER: a daemon whose processor is used up reads every call after its caller has given it up.
+    Scenario Outline: A daemon whose processor is used up still serves what it can
+        When <load>% of what the processor of a daemon can carry arrive for 30 s
+        Then at least 50% of the processor goes into calls that are served
+        And without refusals of late calls less than 25% does
+
+        Examples:
+            | load |
+            | 150  |
+            | 200  |
+            | 300  |
--- a/packages/core/src/calls/refusal.ts
+++ b/packages/core/src/calls/refusal.ts
@@ -15,6 +15,8 @@
     OverShare: "overShare",
     /** The expected wait is longer than the time that is left. */
     WaitTooLong: "waitTooLong",
+    /** The daemon reads calls so late that few of them could still be answered in time. */
+    Overloaded: "overloaded",
     DeadlinePassed: "deadlinePassed",
     Barred: "barred",
     Unreachable: "unreachable",
@@ -69,6 +71,7 @@
     [RefusalReason.QueueFull]: 503,
     [RefusalReason.OverShare]: 429,
     [RefusalReason.WaitTooLong]: 503,
+    [RefusalReason.Overloaded]: 503,
     [RefusalReason.DeadlinePassed]: 504,
     [RefusalReason.Barred]: 503,
     [RefusalReason.Unreachable]: 503,
--- a/packages/daemon/features/calls.feature
+++ b/packages/daemon/features/calls.feature
@@ -103,6 +103,13 @@
         When a call with a deadline of 80 ms waits in the socket of a daemon that is paused for 140 ms
         Then the call is refused as "deadlinePassed" and no backend server ran it
 
+    # Guards against a daemon whose processor is used up and which carries calls that their callers have given up.
+    @not-run-is-true
+    Scenario: A call that a busy daemon read after a quarter of its time is refused at once
+        Given a call deployment of 1 hosts
+        When a call with a deadline of 400 ms waits in the socket of a daemon that is paused for 140 ms
+        Then the call is refused as "overloaded" and no backend server ran it
+
     # Guards against deadlines that start when a connection is read, although it waited to be accepted before.
     @not-run-is-true
     Scenario: The first request of a connection counts as arrived before the connection was accepted
--- a/packages/daemon/src/adapters/calls/entryCall.ts
+++ b/packages/daemon/src/adapters/calls/entryCall.ts
@@ -1,4 +1,5 @@
 import { remainingMs, type Refusal, type Selection } from "@tanagertray/core";
+import { randomUUID } from "node:crypto";
 import type { ServerResponse } from "node:http";
 import { heldVersion } from "../../controllers/advertisement.js";
 import type { Cancellation } from "./cancellation.js";
@@ -74,3 +75,22 @@
         version: heldVersion(board),
     });
 }
+
+/** Says that a call was refused because it was read too late. */
+export function noteLate(
+    { board, now, telemetry }: CallContext,
+    { callId = randomUUID(), matched }: IncomingCall,
+    { refused, arrivedAt }: { readonly refused: Refusal; readonly arrivedAt: number },
+): void {
+    telemetry.event("call.unserved", "info", {
+        callId,
+        caller: matched.caller,
+        service: matched.service.name,
+        route: matched.operation.name,
+        partner: matched.partner,
+        result: CallResult.NotRun,
+        reason: refused.reason,
+        readAfterMs: Math.round(now() - arrivedAt),
+        version: heldVersion(board),
+    });
+}
--- a/packages/daemon/src/adapters/calls/handleEntry.ts
+++ b/packages/daemon/src/adapters/calls/handleEntry.ts
@@ -22,7 +22,7 @@
 import { makeAttempt, callGroup, type AttemptOutcome } from "./attempt.js";
 import { fateWaitMs, leastAttemptMs, maxRedirects } from "./constants.js";
 import type { CallContext } from "./context.js";
-import { CallResult, noteEnd, type EntryCall } from "./entryCall.js";
+import { CallResult, noteEnd, noteLate, type EntryCall } from "./entryCall.js";
 import { UnknownCause } from "./dialect.js";
 import { headerValue, outcomeHeader, responseHeaders } from "./headers.js";
 import {
@@ -33,6 +33,7 @@
     daemonStops,
     deadlinePassed,
     earliestArrival,
+    lateRefusal,
     openCancel,
     readEntryCall,
     timesOf,
@@ -78,6 +79,11 @@
         });
     }
     const call = checked.unsafeCoerce();
+    const late = lateRefusal(context, call, arrivedAt);
+    if (late !== undefined) {
+        noteLate(context, call, { refused: late, arrivedAt });
+        return sendOwn(response, dialect.notRun(late));
+    }
     const { operation, service } = call.matched;
     const { deadline, startBy } = timesOf(context, call, arrivedAt);
     const readAt = context.now();
--- a/packages/daemon/src/adapters/calls/incoming.ts
+++ b/packages/daemon/src/adapters/calls/incoming.ts
@@ -5,6 +5,7 @@
     ReadinessState,
     refusal,
     RefusalReason,
+    refusalWhenLate,
     type MatchedCall,
     type Refusal,
 } from "@tanagertray/core";
@@ -131,6 +132,17 @@
         : Right(call);
 }
 
+/** Why a call is not carried that was read too late. */
+export function lateRefusal(
+    { now }: Pick<CallContext, "now">,
+    call: IncomingCall,
+    arrivedAt: number,
+): Refusal | undefined {
+    const { deadlineMs } = call.matched.operation;
+    const deadline = deadlineAt(arrivedAt, deadlineMs, call.askedDeadlineMs);
+    return refusalWhenLate({ lateMs: now() - arrivedAt, deadlineMs: deadline - arrivedAt });
+}
+
 /** Reads the head of a caller's request and finds its route. */
 export function readEntryCall(
     { board, dialect, random }: CallContext,
