--- a/packages/core/src/admission/lateness.ts
+++ b/packages/core/src/admission/lateness.ts
@@ -14,8 +14,8 @@
 }
 
 /**
- * Refuses a call that a busy daemon read too late. To carry it would make the calls behind it late too; a refusal costs
- * a tenth of that, so that the daemon catches up.
+ * Refuses a call that a busy daemon read too late. To carry it would make the calls behind it late too; a refusal needs
+ * no other daemon and no backend server, so that the daemon catches up.
  *
  * @example
  * ```ts
--- a/packages/daemon/src/adapters/peers/constants.ts
+++ b/packages/daemon/src/adapters/peers/constants.ts
@@ -24,7 +24,7 @@
  * a host with a link of 5 Mbit/s waits half a second for 1,200 of them. Small messages would only cost processor time.
  */
 export const compressedMessageBytes = 8_192;
-/** Of zlib, 1 to 9. Higher levels take four times as long for a tenth less. */
+/** Of zlib, 1 to 9. Level 9 takes twice as long and saves 2% of a configuration. */
 export const compressionLevel = 1;
 export const maxHandshakeBytes = 1_024;
 /** Bytes waiting on a slow link before it is closed. */
