--- a/packages/daemon/src/adapters/calls/arrivals.ts
+++ b/packages/daemon/src/adapters/calls/arrivals.ts
@@ -10,6 +10,8 @@
     noteConnection(socket: Socket, listener?: object): void;
     /** Earliest possible arrival of a request that is read from the socket now. */
     earliest(socket: Socket): number;
+    /** Earliest possible arrival of anything else that is read now, such as the end of a connection. */
+    lastPoll(): number;
     /** Resolves after the next poll of all sockets. */
     nextPoll(): Promise<void>;
 }
@@ -140,6 +142,7 @@
                 ? Math.min(connection.earliestArrival, polledAt)
                 : polledAt;
         },
+        lastPoll,
         // The first callback runs in the current turn, after its poll; the second one after the next poll.
         nextPoll: () => new Promise(resolve => setImmediate(() => setImmediate(resolve))),
         close: () => subscription.close(),
--- a/packages/daemon/src/adapters/calls/handleEntry.ts
+++ b/packages/daemon/src/adapters/calls/handleEntry.ts
@@ -27,6 +27,7 @@
 import { headerValue, outcomeHeader, responseHeaders } from "./headers.js";
 import {
     callerDisconnected,
+    CallPlace,
     cancelIfDisconnected,
     checkAcceptingCalls,
     checkShutdownTimeLeft,
@@ -87,11 +88,12 @@
     const { operation, service } = call.matched;
     const { deadline, startBy } = timeLimitsOf(context, call, arrivedAt);
     const readAt = context.now();
-    const cancelScope = openCancellation(context, response, deadline);
+    const callId = call.callId ?? randomUUID();
+    const cancelScope = openCancellation(context, response, { deadline, place: CallPlace.Entry, callId });
     const span = telemetry.startSpan("entry", call.head.daemonHeaders.get("traceparent"));
     const entry: EntryCall = {
         call,
-        callId: call.callId ?? randomUUID(),
+        callId,
         deadline,
         startBy,
         body: createRequestBody(request, {
--- a/packages/daemon/src/adapters/calls/handleHop.ts
+++ b/packages/daemon/src/adapters/calls/handleHop.ts
@@ -10,6 +10,7 @@
 import { responseHeaders } from "./headers.js";
 import { attemptHeader, claimedAttemptId, verifyHop } from "./hopToken.js";
 import {
+    CallPlace,
     cancelIfDisconnected,
     checkAcceptingCalls,
     checkShutdownTimeLeft,
@@ -73,7 +74,7 @@
     const readAt = context.now();
     const stages: StageTimes = { arrivedAt, readAt, startedAt: readAt };
     const { deadline, startBy } = timeLimitsOf(context, call, arrivedAt);
-    const cancelScope = openCancellation(context, response, deadline);
+    const cancelScope = openCancellation(context, response, { deadline, place: CallPlace.Hop, callId });
     const span = context.telemetry.startSpan("hop", head.daemonHeaders.get("traceparent"));
     const callerCheck = cancelIfDisconnected(context, cancelScope.cancellation, { request, arrivedAt });
     if (callerCheck !== undefined) {
--- a/packages/daemon/src/adapters/calls/incoming.ts
+++ b/packages/daemon/src/adapters/calls/incoming.ts
@@ -239,21 +239,49 @@
 export const shutdownLimitReached = new Error("the shutdown limit for calls in flight was reached");
 export const deadlinePassed = new Error("the deadline passed");
 
+/** Which connection of a call was closed. */
+export const CallPlace = {
+    /** The connection of the caller. */
+    Entry: "entry",
+    /** The connection of the entry daemon. */
+    Hop: "hop",
+} as const;
+export type CallPlace = (typeof CallPlace)[keyof typeof CallPlace];
+
+interface CancelledCall {
+    readonly deadline: number;
+    readonly place: CallPlace;
+    readonly callId: string;
+}
+
 /** Cancels a call when its caller disconnects, its deadline passes or the shutdown limit is reached. */
 export function openCancellation(
     context: CallContext,
     response: ServerResponse,
-    deadline: number,
+    { deadline, place, callId }: CancelledCall,
 ): { readonly cancellation: Cancellation; close(): void } {
     const cancellation = createCancellation();
     const timer = context.timers.after(Math.max(0, deadline - context.now()), () =>
         cancellation.cancel(deadlinePassed),
     );
+    const readAt = context.now();
+    let endedAt: number | undefined;
+    const onEnd = () => (endedAt = context.now());
+    response.req.socket.once("end", onEnd);
     const onClose = () => {
         // "close" is also emitted after a complete response.
-        if (!response.writableFinished) {
-            cancellation.cancel(callerDisconnected);
+        if (response.writableFinished || cancellation.cancelled) {
+            return;
         }
+        cancellation.cancel(callerDisconnected);
+        const now = context.now();
+        context.telemetry.event("call.callerLeft", "info", {
+            callId,
+            place,
+            ageMs: now - readAt,
+            unreadMs: Math.round((endedAt ?? now) - context.arrivals.lastPoll()),
+            actedAfterMs: now - (endedAt ?? now),
+        });
     };
     response.once("close", onClose);
     const stopWatchingConnection = onceConnectionCloses(response, onClose);
@@ -263,6 +291,7 @@
         close() {
             timer.cancel();
             response.off("close", onClose);
+            response.req.socket.off("end", onEnd);
             stopWatchingConnection?.();
             context.cancellations.delete(cancellation);
         },
--- a/packages/daemon/src/adapters/log.ts
+++ b/packages/daemon/src/adapters/log.ts
@@ -13,6 +13,7 @@
     "call.unserved",
     "call.attemptFailed",
     "call.backendRefused",
+    "call.callerLeft",
     "call.serverError",
     "call.unreachable",
     "call.hopRefused",
