fix(calls): start no call whose entry daemon has been silent

Callers saw: calls that waited for a slot on another host reached the backend server more than half a second after their clients had left.

Cause: an entry daemon that is too busy to read the close of its client does not cancel the call, and the host of the backend server starts it on the old word.

Change: the host notes when it last read a call or a response of each entry daemon. A waiting call whose entry daemon has been silent for 300 ms keeps its place when a slot is free, later calls go first, and the entry daemon is asked by one small request over the connections for calls. It answers after its sockets have been polled, so that it has cancelled the calls of clients that left. A daemon that does not know the request refuses it, which counts as an answer. Nothing is refused for this.

"served after its entry daemon has answered" guards the other side. The cost is a request for a call that waits and whose entry daemon is silent, none otherwise; it is not measured yet.

--- a/features/hosts.feature
+++ b/features/hosts.feature
@@ -149,13 +149,33 @@
             | a1,a2 | a1    | 150  |
 
     # Guards against a call that is started for an entry daemon which is too busy to read the close of its client.
-    @not-run-is-true @known-red
+    @not-run-is-true
     Scenario: A call that waited on another host is not forwarded when its entry daemon has not read that the client left
         Given daemon processes "a1,a2" that can be made busy for 900 ms with turns of 900 ms, and a backend server with 1 slot at "a2"
         When "a1" is busy while its only slot is released and 5 clients of "a1" that wait for it leave
         Then within 1500 ms no call reached the backend server more than 500 ms after its client left
         And a patient client of "a1" is served
 
+    # Guards against calls that wait in vain for the answer of their entry daemon.
+    Scenario: A call that waited on another host is served after its entry daemon has answered
+        Given daemon processes "a1,a2" that can be made busy for 900 ms with turns of 900 ms, and a backend server with 1 slot at "a2"
+        When a client of "a1" waits 900 ms for the only slot
+        Then it is served after "a2" has asked the entry daemon
+
+    # Guards against a call that is written at the end of a long turn in which the close of its client arrived.
+    @not-run-is-true @known-red
+    Scenario Outline: A call that gets its slot in a long turn is not forwarded when its client leaves during that turn
+        Given daemon processes "a1,a2" that can be made busy for 900 ms with turns of 900 ms, and a backend server with 1 slot at "a2"
+        And 3 clients of "<entry>" called at once and were served one at a time
+        When "a2" reads the release of its only slot in a long turn during which 3 clients of "<entry>" that wait for it leave
+        Then within 1500 ms no call reached the backend server more than 500 ms after its client left
+        And a patient client of "a1" is served
+
+        Examples:
+            | entry |
+            | a1    |
+            | a2    |
+
     # Guards against the loss of a version that only the killed daemons had, and against a stale read after a restart.
     @no-older-version @in-force-everywhere @herd-death @reconnect-storm @stale-read @two-faults
     Scenario: All daemons are killed right after an accept, and the last to restart reads a stale head row
--- a/features/steps/abandonedCalls.ts
+++ b/features/steps/abandonedCalls.ts
@@ -10,6 +10,8 @@
     server?: StandInBackendServer;
     /** Time at which each client closed its connection, by call id. */
     clientLeftAt: Map<string, number>;
+    /** Status that the last client received. */
+    status: number;
 }
 
 const scenarioMs = 40_000;
@@ -180,6 +182,33 @@
     },
 );
 
+/** Time after which a client leaves that waits while the daemon is stopped and then busy, in milliseconds. */
+const longTurnLeaveMs = 500;
+
+When(
+    "{string} reads the release of its only slot in a long turn during which {int} clients of {string} that wait for it leave",
+    { timeout: scenarioMs },
+    async function (this: World, busy: string, count: number, name: string) {
+        const entry = hostNamed(this, name);
+        const { child } = hostNamed(this, busy);
+        this.server?.setFaults({ workMs: slotHoldMs });
+        const holding = call(this, entry, { id: "holding", ...patientClient });
+        await sleep(arrivalMs);
+        const waiting = Array.from({ length: count }, (_, index) =>
+            call(this, entry, { id: `c${index}`, deadlineMs: 5_000, leavesAfterMs: longTurnLeaveMs }),
+        );
+        await sleep(arrivalMs);
+        // The response and the signal that starts the long turn are read in the same poll.
+        child.kill("SIGSTOP");
+        await sleep(slotHoldMs - arrivalMs);
+        child.kill("SIGUSR2");
+        child.kill("SIGCONT");
+        await Promise.all([holding, ...waiting]);
+        assert.equal(this.clientLeftAt.size, count, "calls were answered before their clients could leave");
+        this.server?.setFaults({ workMs: 0 });
+    },
+);
+
 /** Time for which each of the calls that follow occupies the slot, in milliseconds. */
 const shortHoldMs = 100;
 /** Time after which the clients leave together, in milliseconds: several busy turns after the first of them got the slot. */
@@ -276,6 +305,25 @@
     },
 );
 
+When(
+    "a client of {string} waits {int} ms for the only slot",
+    { timeout: scenarioMs },
+    async function (this: World, name: string, ms: number) {
+        const entry = hostNamed(this, name);
+        this.server?.setFaults({ workMs: ms + arrivalMs });
+        const holding = call(this, entry, { id: "holding", ...patientClient });
+        await sleep(arrivalMs);
+        this.status = await call(this, entry, { id: "waiting", ...patientClient });
+        assert.equal(await holding, 200);
+    },
+);
+
+Then("it is served after {string} has asked the entry daemon", async function (this: World, name: string) {
+    assert.equal(this.status, 200);
+    const response = await fetch(`http://${hostNamed(this, name).adminAddress}/metrics`);
+    assert.match(await response.text(), /tanagertray_events_total\{event="call.entryProbed"\} [1-9]/);
+});
+
 Then("a patient client of {string} is served", { timeout: scenarioMs }, async function (this: World, name) {
     assert.equal(await call(this, hostNamed(this, name), { id: "last", ...patientClient }), 200);
 });
--- a/packages/core/features/admission.feature
+++ b/packages/core/features/admission.feature
@@ -71,6 +71,13 @@
         Given an admission state with 4 slots in use by partner "east" of share 1
         Then expired and cancelled calls are removed and the others stay
 
+    # Guards against a call that is started although its entry daemon cannot know whether the caller has left, and against a
+    # slot that stands idle for it.
+    @not-run-is-true
+    Scenario: A waiting call that may not start keeps its place, and the next one that may gets the slot
+        Given an admission state with 4 slots in use by partner "east" of share 1
+        Then of three waiting calls, the second and the third are admitted while the first may not start, and then the first
+
     Scenario Outline: Announcements are validated
         Then an announcement with <field> of <value> is <verdict>
 
--- a/packages/core/features/steps/admission.ts
+++ b/packages/core/features/steps/admission.ts
@@ -258,6 +258,21 @@
     assert.equal(admitNext(this.state, capacities)?.call, calls[2]);
 });
 
+Then(
+    "of three waiting calls, the second and the third are admitted while the first may not start, and then the first",
+    function (this: World) {
+        const calls = [waitingCall("east", 1), waitingCall("east", 1), waitingCall("west", 1)];
+        calls.forEach(call => assert.equal(requestSlot(this, call).kind, "queued"));
+        [1, 2, 3].forEach(() => releaseSlot(this.state, { partner: "east" }, "b1", 10));
+        const mayStart = (call: WaitingCall) => call !== calls[0];
+        const admit = () => admitNext(this.state, capacities, { mayStart })?.call;
+        assert.deepEqual([admit(), admit(), admit()], [calls[2], calls[1], undefined]);
+        assert.equal(this.state.queued, 1);
+        assert.equal(admitNext(this.state, capacities)?.call, calls[0]);
+        assert.equal(this.state.queued, 0);
+    },
+);
+
 Then(
     /^an announcement with (\w+) of (.+) is (valid|invalid)$/,
     function (field: string, value: string, verdict: string) {
--- a/packages/core/src/admission/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -4,6 +4,7 @@
 import { hasValidLease } from "./announcement.js";
 import type { CapacityReport } from "../routing/observation.js";
 import { BackendServerState, type BackendServer } from "./backendServer.js";
+import type { EntryContact } from "./entryContact.js";
 
 /** Maximum number of calls of one service that may wait on a host. */
 export const maxQueuedCalls = 256;
@@ -57,6 +58,11 @@
      * @default ""
      */
     readonly operation?: string;
+    /**
+     * The other daemon that the call came from.
+     * @default the call came from a caller of this host
+     */
+    readonly entry?: EntryContact | undefined;
 }
 
 export interface PartnerUsage {
@@ -234,22 +240,36 @@
     return usage.queue.length / (usage.queue[0]?.share ?? 1);
 }
 
+export interface AdmitNextOptions {
+    /**
+     * Whether a waiting call may start now. Other calls keep their places in the queue.
+     * @default () => true
+     */
+    readonly mayStart?: (call: WaitingCall) => boolean;
+}
+
 /** Admits the next waiting call, taken from the partner with the fewest slots in use relative to its share. */
 export function admitNext(
     state: ServiceAdmission,
     capacities: readonly Capacity[],
+    { mayStart = () => true }: AdmitNextOptions = {},
 ): { readonly call: WaitingCall; readonly server: BackendServer } | undefined {
     const server = state.queued === 0 ? undefined : leastUsedServer(state, capacities);
-    const next = [...state.partners.values()]
-        .filter(usage => usage.queue.length > 0)
-        .reduce<PartnerUsage | undefined>(
-            (best, usage) => (best === undefined || slotRatio(usage) < slotRatio(best) ? usage : best),
-            undefined,
-        );
-    if (server === undefined || next === undefined) {
+    if (server === undefined) {
+        return undefined;
+    }
+    let next: { readonly usage: PartnerUsage; readonly call: WaitingCall } | undefined;
+    for (const usage of state.partners.values()) {
+        const call = usage.queue.find(mayStart);
+        if (call !== undefined && (next === undefined || slotRatio(usage) < slotRatio(next.usage))) {
+            next = { usage, call };
+        }
+    }
+    if (next === undefined) {
         return undefined;
     }
-    const call = next.queue.shift() as WaitingCall;
+    const { usage, call } = next;
+    usage.queue.splice(usage.queue.indexOf(call), 1);
     state.queued -= 1;
     occupySlot(state, call.partner, server);
     return { call, server };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -66,6 +66,7 @@
 export * from "./admission/announcement.js";
 export * from "./admission/admission.js";
 export * from "./admission/bodyWindow.js";
+export * from "./admission/entryContact.js";
 export * from "./admission/lateness.js";
 export * from "./distribution/updateLog.js";
 export * from "./distribution/state.js";
--- a/packages/daemon/src/adapters/calls/admissions.ts
+++ b/packages/daemon/src/adapters/calls/admissions.ts
@@ -3,6 +3,7 @@
     admitNext,
     availableCapacities,
     createServiceAdmission,
+    isEntrySilent,
     loadOf,
     refusal,
     refusalBeforeBody,
@@ -17,6 +18,7 @@
     type BackendServer,
     type Capacity,
     type CapacityReport,
+    type EntryContact,
     type Refusal,
     type Service,
     type ServiceAdmission,
@@ -25,6 +27,7 @@
 import { Left, Right, type Either } from "purify-ts/Either";
 import type { Board } from "../../board.js";
 import type { Cancellation } from "./cancellation.js";
+import type { EntryContacts } from "./entryContacts.js";
 
 /** One of the concurrent calls that a backend server accepts. */
 export interface Slot {
@@ -56,10 +59,13 @@
     readonly waitingCalls: Map<WaitingCall, (outcome: Either<Refusal, BackendServer>) => void>;
     readonly occupiedSlots: Map<Slot, { readonly cancellation: Cancellation; readonly service: string }>;
     readonly avoidedUntil: Map<string, number>;
+    readonly probe: EntryContacts["probe"];
 }
 
 export interface AdmissionsOptions {
     readonly now: () => number;
+    /** Asks a silent entry daemon whose call is the next to start. */
+    readonly probe: EntryContacts["probe"];
     /**
      * Number of calls whose bodies are still arriving or queued, which a capacity report includes.
      * @default () => 0
@@ -70,7 +76,7 @@
 /** Assigns the slots of the backend servers to calls and writes the `admissionState` section. */
 export function createAdmissions(
     board: Board,
-    { now, arrivingBodies = () => 0 }: AdmissionsOptions,
+    { now, probe, arrivingBodies = () => 0 }: AdmissionsOptions,
 ): Admissions {
     const context: AdmissionContext = {
         board,
@@ -79,6 +85,7 @@
         waitingCalls: new Map(),
         occupiedSlots: new Map(),
         avoidedUntil: new Map(),
+        probe,
     };
     board.claimValue("admissionState").write(context.states);
     const subscriptions = [
@@ -159,9 +166,19 @@
         queued.forEach(call => removeWaiting(state, call));
         return queued.forEach(call => settle(context, call, Left(refusal(RefusalReason.NoBackendServer))));
     }
-    for (let next = admitNext(state, available); next !== undefined; next = admitNext(state, available)) {
+    const silentEntries = new Set<EntryContact>();
+    const mayStart = ({ entry }: WaitingCall) => {
+        const isSilent = entry !== undefined && isEntrySilent(entry, context.now());
+        if (isSilent) {
+            silentEntries.add(entry);
+        }
+        return !isSilent;
+    };
+    const admit = () => admitNext(state, available, { mayStart });
+    for (let next = admit(); next !== undefined; next = admit()) {
         settle(context, next.call, Right(next.server));
     }
+    silentEntries.forEach(entry => context.probe(entry, () => assignFreeSlots(context, name)));
 }
 
 function settle(
@@ -188,6 +205,8 @@
                 if (dropped !== undefined) {
                     settle(context, dropped, Left(refusal(RefusalReason.OverShare)));
                 }
+                // Slots are free while all calls ahead come from silent entry daemons.
+                assignFreeSlots(context, service.name);
             },
         } satisfies Record<AdmissionKind, (decision: never) => void>;
         handlers[decision.kind](decision as never);
--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -25,6 +25,7 @@
 import { bodySilenceMs, hopSilenceMs, maxHopConnections } from "./constants.js";
 import type { CallContext } from "./context.js";
 import { UnknownCause } from "./dialect.js";
+import { entryHostHeader } from "./entryContacts.js";
 import { exchange, ExchangeEnd, type ExchangeResult } from "./exchange.js";
 import { headerValue } from "./headers.js";
 import { currentVersion } from "../../controllers/advertisement.js";
@@ -163,6 +164,7 @@
     let refused: { readonly reason: string; readonly retryAfterMs: number } | undefined;
 
     function onHead(status: number, raw: string[]): Disposition {
+        context.entryContacts.noteMessage(selection.target.host);
         const load = Number(headerValue(raw, "tanagertray-load") ?? Number.NaN);
         if (load >= 0) {
             recordLoad(observation, load, context.now());
@@ -271,6 +273,7 @@
         ...["tanagertray-call-id", callId, "tanagertray-deadline-ms", deadlineMs],
         ...["tanagertray-hop", signHop(claims, key, context.now())],
         ...["traceparent", attempt.traceparent],
+        ...[entryHostHeader, context.board.read("settings").host],
         ...[startWithinHeader, String(Math.max(1, remainingMs(attempt.startBy, context.now())))],
         ...(call.route === undefined ? [] : [routeHeader, call.route]),
     ];
--- a/packages/daemon/src/adapters/calls/constants.ts
+++ b/packages/daemon/src/adapters/calls/constants.ts
@@ -32,6 +32,8 @@
 export const maxStartDelayMs = barMs - 2 * hopTokenValidityMs;
 /** Maximum time to wait for another daemon's answer about the fate of a call, in milliseconds. */
 export const maxFateWaitMs = 1_000;
+/** Silence after which a probe of an entry daemon counts as unanswered, in milliseconds. */
+export const probeSilenceMs = 1_000;
 /** Maximum number of connections to one other daemon. */
 export const maxHopConnections = 128;
 /** Idle timeout of pooled connections, in milliseconds. The listeners keep theirs open for 30 s. */
--- a/packages/daemon/src/adapters/calls/context.ts
+++ b/packages/daemon/src/adapters/calls/context.ts
@@ -4,6 +4,7 @@
 import type { Arrivals } from "./arrivals.js";
 import type { BodyTransfers } from "./bodyTransfers.js";
 import type { CallDialect } from "./dialect.js";
+import type { EntryContacts } from "./entryContacts.js";
 import type { Fates } from "./fates.js";
 import type { Observations } from "./observations.js";
 import type { Pools } from "./pools.js";
@@ -20,6 +21,7 @@
     readonly admissions: Admissions;
     readonly bodyTransfers: BodyTransfers;
     readonly fates: Fates;
+    readonly entryContacts: EntryContacts;
     readonly observations: Observations;
     readonly telemetry: Telemetry;
     readonly timers: Timers;
--- a/packages/daemon/src/adapters/calls/createCalls.ts
+++ b/packages/daemon/src/adapters/calls/createCalls.ts
@@ -12,6 +12,7 @@
 import { redirectLimits } from "./constants.js";
 import type { CallContext } from "./context.js";
 import type { CallDialect } from "./dialect.js";
+import { createEntryContacts } from "./entryContacts.js";
 import { createFates } from "./fates.js";
 import { shutdownLimitReached } from "./incoming.js";
 import { handleEntry } from "./handleEntry.js";
@@ -59,17 +60,26 @@
 export async function createCalls(board: Board, options: CallsOptions = {}): Promise<Calls> {
     const { now = steadyNow, random = Math.random, dialect = nativeDialect } = options;
     const bodyTransfers = createBodyTransfers(board);
+    const pools = createPools(now);
+    const telemetry = createTelemetry(board, now);
+    const timers = createTimers(board, now);
+    const entryContacts = createEntryContacts({ board, now, pools, telemetry, timers });
     const context: CallContext = {
         board,
         now,
         random,
-        pools: createPools(now),
+        pools,
         bodyTransfers,
-        admissions: createAdmissions(board, { now, arrivingBodies: bodyTransfers.count }),
+        entryContacts,
+        admissions: createAdmissions(board, {
+            now,
+            probe: entryContacts.probe,
+            arrivingBodies: bodyTransfers.count,
+        }),
         fates: createFates(board, now),
         observations: createObservations(board),
-        telemetry: createTelemetry(board, now),
-        timers: createTimers(board, now),
+        telemetry,
+        timers,
         arrivals: createArrivals(board, { now }),
         dialect,
         retryBudgets: createRetryBudgets(board.read("settings").retries),
@@ -138,6 +148,7 @@
             await closed;
             clearTimeout(drainTimer);
             subscriptions.forEach(subscription => subscription.close());
+            entryContacts.close();
             await context.pools.close();
             [
                 context.admissions,
--- a/packages/daemon/src/adapters/calls/handleHop.ts
+++ b/packages/daemon/src/adapters/calls/handleHop.ts
@@ -6,6 +6,7 @@
 import { eagerBodyBytes, progressIntervalMs } from "./constants.js";
 import type { CallContext } from "./context.js";
 import { UnknownCause, type DaemonResponse } from "./dialect.js";
+import { answerProbe, entryHostHeader, probePath } from "./entryContacts.js";
 import { ExchangeEnd, type ExchangeResult } from "./exchange.js";
 import { responseHeaders } from "./headers.js";
 import { attemptHeader, claimedAttemptId, verifyHop } from "./hopToken.js";
@@ -41,6 +42,9 @@
     request: IncomingMessage,
     response: ServerResponse,
 ): Promise<void> {
+    if (request.url === probePath) {
+        return answerProbe(context, request, response);
+    }
     const arrivedAt = earliestArrival(context, request);
     const checked = checkAcceptingCalls(context, arrivedAt)
         .chain(() => readHopCall(context, request))
@@ -80,6 +84,8 @@
     if (callerCheck !== undefined) {
         await callerCheck;
     }
+    const entryHost = head.daemonHeaders.get(entryHostHeader);
+    context.entryContacts.noteMessage(entryHost);
     const maxBytes = matched.operation.maxBodyBytes;
     const { hasBody, declaredBytes } = head;
     const requestBody = createRequestBody(request, { hasBody, declaredBytes, maxBytes, repeatable: false });
@@ -111,6 +117,7 @@
         body,
         cancellation: cancelScope.cancellation,
         stages,
+        entryHost,
         bodyFollowsAdmission: true,
         onAdmitted() {
             if (isAdmitted) {
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -36,6 +36,8 @@
     readonly body: BodyAttempt;
     readonly cancellation: Cancellation;
     readonly stages: StageTimes;
+    /** Host of the daemon that the call came from, if it is another one and named itself. */
+    readonly entryHost?: string | undefined;
     /** Whether the body comes from another daemon, which sends it after `onAdmitted`. */
     readonly bodyFollowsAdmission: boolean;
     /** Called when the other daemon may send the rest of the body, and when the call is about to be sent to a server. */
@@ -59,6 +61,7 @@
         priority,
         operation: operation.name,
         deadline: call.startBy,
+        entry: context.entryContacts.of(call.entryHost),
     };
     const objective = context.now() + latencyObjectiveMs;
     const bytes = call.body.pendingBytes;
@@ -103,6 +106,7 @@
     transferTimer.cancel();
     transfer.endTransfer();
     call.stages.bodyMs = context.now() - startedAt;
+    context.entryContacts.noteMessage(call.entryHost);
     if (call.cancellation.cancelled) {
         transfer.close();
         return Left(refusal(RefusalReason.DeadlinePassed));
