fix(calls): do not refuse a first call as late that was sent after its connection

Callers saw: 503 "overloaded" on an idle host for the first call of a connection that was opened 250 to 500 ms before it (route timeout 1 s; waits of 300 and 400 ms of 0, 100, 300, 400 and 600 ms). Seen once in a new scenario, where the test process was slow to send.

Cause: such a call counts as having waited with its connection, and calls that are read after a quarter of their time are refused since.

Change: a call did not wait with its connection if the event loop has waited for events since it accepted it.

Evidence: calls.feature "A first request that ends a wait" failed before; it and the 20 other scenarios of arrivals and of busy and stopped daemons pass; all five waits get 200.

--- a/packages/daemon/features/calls.feature
+++ b/packages/daemon/features/calls.feature
@@ -160,6 +160,14 @@
         And a connection is accepted at 291 ms and the turn ends at 292 ms
         Then its first request, read at 293 ms, counts as arrived at 290 ms, and the next one at 290 ms
 
+    # Guards against a client that sends its first call 250 to 500 ms after it connected, and is refused as read late.
+    @not-run-is-true
+    Scenario: A first request that ends a wait of the event loop did not arrive with its connection
+        Given an event loop that is always busy, with turns that end at 100 and 200 ms
+        When a connection is accepted at 210 ms and the turn ends at 300 ms
+        And the loop waits from 300 ms for 250 ms
+        Then its first request, read at 552 ms, counts as arrived at 550 ms, and the next one at 550 ms
+
     # Guards against a second daemon that starts a call later than the entry daemon, which read it late, would have.
     @not-run-is-true
     Scenario: A call from another daemon is not started after the time limit of the entry daemon
--- a/packages/daemon/src/adapters/calls/arrivals.ts
+++ b/packages/daemon/src/adapters/calls/arrivals.ts
@@ -71,6 +71,8 @@
 /** Connection on which no request has been read yet. */
 interface NewConnection {
     readonly polledAt: number;
+    /** Idle time of the loop when the connection was accepted, in milliseconds since its start. */
+    readonly idleMs: number;
     /** Earliest time at which it can have entered the accept queue. */
     readonly earliestArrival: number;
 }
@@ -132,16 +134,22 @@
             const burst = currentBurst(listener);
             const earliestArrival = Math.max(burst?.earliestArrival ?? polledAt, now() - maxAcceptWaitMs);
             bursts.set(listener, { earliestArrival: burst?.earliestArrival ?? polledAt, turn: lastTurn });
-            newConnections.set(socket, { polledAt, earliestArrival: Math.min(earliestArrival, polledAt) });
+            newConnections.set(socket, {
+                polledAt,
+                idleMs: loop.idleMs(),
+                earliestArrival: Math.min(earliestArrival, polledAt),
+            });
         },
         earliest(socket) {
             const polledAt = lastPoll();
             const connection = newConnections.get(socket);
             newConnections.delete(socket);
             // On a connection that was idle before its first request, the request did not wait in the accept queue.
-            return connection !== undefined && polledAt - connection.polledAt < maxFirstRequestDelayMs
-                ? Math.min(connection.earliestArrival, polledAt)
-                : polledAt;
+            const wasSentWithConnection =
+                connection !== undefined &&
+                polledAt - connection.polledAt < maxFirstRequestDelayMs &&
+                loop.idleMs() - connection.idleMs < minIdleMs;
+            return wasSentWithConnection ? Math.min(connection.earliestArrival, polledAt) : polledAt;
         },
         lastPoll,
         nextPoll: () => endOfTurn().then(endOfTurn),
