--- a/features/steps/abandonedCalls.ts
+++ b/features/steps/abandonedCalls.ts
@@ -151,6 +151,22 @@
  */
 const queueLeaveMs = 250;
 
+/** Occupies the only slot with one call, and queues the calls of clients that leave. */
+async function queueCalls(
+    world: World,
+    entry: HostProcess,
+    { count, leavesAfterMs }: { readonly count: number; readonly leavesAfterMs: number },
+): Promise<readonly Promise<number>[]> {
+    world.server?.setFaults({ workMs: slotHoldMs });
+    const holding = call(world, entry, { id: "holding", ...patientClient });
+    await sleep(arrivalMs);
+    const waiting = Array.from({ length: count }, (_, index) =>
+        call(world, entry, { id: `c${index}`, deadlineMs: 5_000, leavesAfterMs }),
+    );
+    await sleep(arrivalMs);
+    return [holding, ...waiting];
+}
+
 Given(
     "{int} clients of {string} called at once and were served one at a time",
     { timeout: scenarioMs },
@@ -168,15 +184,9 @@
     { timeout: scenarioMs },
     async function (this: World, busy: string, count: number, name: string) {
         const entry = hostNamed(this, name);
-        this.server?.setFaults({ workMs: slotHoldMs });
-        const holding = call(this, entry, { id: "holding", ...patientClient });
-        await sleep(arrivalMs);
-        const waiting = Array.from({ length: count }, (_, index) =>
-            call(this, entry, { id: `c${index}`, deadlineMs: 5_000, leavesAfterMs: queueLeaveMs }),
-        );
-        await sleep(arrivalMs);
+        const calls = await queueCalls(this, entry, { count, leavesAfterMs: queueLeaveMs });
         hostNamed(this, busy).child.kill("SIGUSR2");
-        await Promise.all([holding, ...waiting]);
+        await Promise.all(calls);
         assert.equal(this.clientLeftAt.size, count, "calls were answered before their clients could leave");
         this.server?.setFaults({ workMs: 0 });
     },
@@ -191,19 +201,13 @@
     async function (this: World, busy: string, count: number, name: string) {
         const entry = hostNamed(this, name);
         const { child } = hostNamed(this, busy);
-        this.server?.setFaults({ workMs: slotHoldMs });
-        const holding = call(this, entry, { id: "holding", ...patientClient });
-        await sleep(arrivalMs);
-        const waiting = Array.from({ length: count }, (_, index) =>
-            call(this, entry, { id: `c${index}`, deadlineMs: 5_000, leavesAfterMs: longTurnLeaveMs }),
-        );
-        await sleep(arrivalMs);
+        const calls = await queueCalls(this, entry, { count, leavesAfterMs: longTurnLeaveMs });
         // The response and the signal that starts the long turn are read in the same poll.
         child.kill("SIGSTOP");
         await sleep(slotHoldMs - arrivalMs);
         child.kill("SIGUSR2");
         child.kill("SIGCONT");
-        await Promise.all([holding, ...waiting]);
+        await Promise.all(calls);
         assert.equal(this.clientLeftAt.size, count, "calls were answered before their clients could leave");
         this.server?.setFaults({ workMs: 0 });
     },
@@ -219,16 +223,10 @@
     { timeout: scenarioMs },
     async function (this: World, busy: string, count: number, name: string) {
         const entry = hostNamed(this, name);
-        this.server?.setFaults({ workMs: slotHoldMs });
-        const holding = call(this, entry, { id: "holding", ...patientClient });
-        await sleep(arrivalMs);
+        const calls = await queueCalls(this, entry, { count, leavesAfterMs: joinedLeaveMs });
         this.server?.setFaults({ workMs: shortHoldMs });
-        const waiting = Array.from({ length: count }, (_, index) =>
-            call(this, entry, { id: `c${index}`, deadlineMs: 5_000, leavesAfterMs: joinedLeaveMs }),
-        );
-        await sleep(arrivalMs);
         busy.split(",").forEach(host => hostNamed(this, host).child.kill("SIGUSR2"));
-        await Promise.all([holding, ...waiting]);
+        await Promise.all(calls);
         assert.ok(this.clientLeftAt.size > 0, "calls were answered before their clients could leave");
     },
 );
--- a/packages/core/src/admission/entryContact.ts
+++ b/packages/core/src/admission/entryContact.ts
@@ -3,7 +3,7 @@
  * not know that a caller has left, and a call of that caller would run for nobody.
  */
 export interface EntryContact {
-    /** Earliest time at which the latest message of the entry daemon can have arrived, in milliseconds since the epoch. */
+    /** Time at which the latest message of the entry daemon was read, in milliseconds since the epoch. */
     heardAt: number;
 }
 
--- a/packages/daemon/src/adapters/calls/admissions.ts
+++ b/packages/daemon/src/adapters/calls/admissions.ts
@@ -178,6 +178,7 @@
     for (let next = admit(); next !== undefined; next = admit()) {
         settle(context, next.call, Right(next.server));
     }
+    // Calls of other services that wait for the same probe are assigned at the next clock tick.
     silentEntries.forEach(entry => context.probe(entry, () => assignFreeSlots(context, name)));
 }
 
--- a/packages/daemon/src/adapters/calls/entryContacts.ts
+++ b/packages/daemon/src/adapters/calls/entryContacts.ts
@@ -20,7 +20,7 @@
     of(host: string | undefined): EntryContact | undefined;
     /** Notes that a message of the host has been read. */
     noteMessage(host: string | undefined): void;
-    /** Sends a probe to the host of the contact, unless one is in flight. The listener is called after an answer. */
+    /** Sends a probe to the host of the contact, and calls the listener after its answer. Ignored while one is in flight. */
     probe(contact: EntryContact, onAnswer: () => void): void;
     close(): void;
 }
@@ -28,12 +28,12 @@
 interface KnownEntry {
     readonly host: string;
     readonly contact: EntryContact;
-    /** Called after the answer to the probe in flight; `undefined` if there is none. */
-    answerListeners: Set<() => void> | undefined;
+    isProbed: boolean;
 }
 
 type ContactsContext = Pick<CallContext, "board" | "now" | "pools" | "telemetry" | "timers">;
 
+/** Records when entry daemons were heard, and probes the silent ones. */
 export function createEntryContacts(context: ContactsContext): EntryContacts {
     const { board, now, telemetry } = context;
     const entries = new Map<string, KnownEntry>();
@@ -48,19 +48,20 @@
         if (known !== undefined) {
             return known;
         }
-        const entry: KnownEntry = { host, contact: { heardAt: now() }, answerListeners: undefined };
+        const entry: KnownEntry = { host, contact: { heardAt: now() }, isProbed: false };
         entries.set(host, entry);
         entryByContact.set(entry.contact, entry);
         return entry;
     }
 
-    async function sendProbe(entry: KnownEntry, listeners: ReadonlySet<() => void>): Promise<void> {
+    async function sendProbe(entry: KnownEntry, onAnswer: () => void): Promise<void> {
+        entry.isProbed = true;
         const { host, contact } = entry;
         const address = addressOf(host);
         const sentAt = now();
         const silentMs = sentAt - contact.heardAt;
         const isSilent = address !== undefined && (await isUnanswered(context, address, probeCancellation));
-        entry.answerListeners = undefined;
+        entry.isProbed = false;
         telemetry.event("call.entryProbed", "debug", {
             host,
             silentMs,
@@ -69,7 +70,7 @@
         });
         if (!isSilent) {
             contact.heardAt = now();
-            listeners.forEach(notify => notify());
+            onAnswer();
         }
     }
 
@@ -79,8 +80,8 @@
             return;
         }
         lastExpiryAt = now();
-        for (const [host, { contact, answerListeners }] of entries) {
-            if (answerListeners === undefined && contact.heardAt < unusedSince) {
+        for (const [host, { contact, isProbed }] of entries) {
+            if (!isProbed && contact.heardAt < unusedSince) {
                 entries.delete(host);
             }
         }
@@ -97,11 +98,8 @@
         },
         probe(contact, onAnswer) {
             const entry = entryByContact.get(contact);
-            if (entry?.answerListeners !== undefined) {
-                entry.answerListeners.add(onAnswer);
-            } else if (entry !== undefined) {
-                entry.answerListeners = new Set([onAnswer]);
-                void sendProbe(entry, entry.answerListeners);
+            if (entry !== undefined && !entry.isProbed) {
+                void sendProbe(entry, onAnswer);
             }
         },
         close() {
