fix(calls): let the exchange end an endless head before the client library does

Callers saw: 503 "overloaded" for calls to a sound backend server while another one sent headers or trailers without end.

Cause: beyond its header limit (16 KiB) the client library destroys the connection with a new error for each further header of the bytes that it has read already.

Change: the limit of the library is above that of the exchange, which fails before the next bytes are parsed. Heads of 16 to 64 KiB are now passed on.

--- a/packages/daemon/src/adapters/calls/connections.ts
+++ b/packages/daemon/src/adapters/calls/connections.ts
@@ -1,6 +1,11 @@
 import { buildConnector, Client, type Dispatcher } from "undici";
 import type { Socket } from "node:net";
-import { connectTimeoutMs, maxExchangesPerConnection, poolIdleTimeoutMs } from "./constants.js";
+import {
+    connectTimeoutMs,
+    maxExchangesPerConnection,
+    maxResponseHeadBytes,
+    poolIdleTimeoutMs,
+} from "./constants.js";
 import { waitForPendingEvents } from "./pendingEvents.js";
 
 /** One connection to a backend server or another daemon. */
@@ -50,6 +55,7 @@
         keepAliveTimeout: poolIdleTimeoutMs,
         keepAliveMaxTimeout: poolIdleTimeoutMs,
         maxRequestsPerClient: maxExchangesPerConnection,
+        maxHeaderSize: maxResponseHeadBytes,
         connect(options, callback) {
             connect(options, (...result) => {
                 const [error, socket] = result;
--- a/packages/daemon/src/adapters/calls/constants.ts
+++ b/packages/daemon/src/adapters/calls/constants.ts
@@ -50,6 +50,12 @@
  * body. Four times the header limit of the HTTP library; one 102 per second for 600 s adds up to 16 KB.
  */
 export const maxBytesWithoutBody = 65_536;
+/**
+ * Limit of the client library for the headers or trailers of a response, in bytes. Beyond it, the library creates an error
+ * for each further header that it has read already, which takes 200 ms for one read of short headers. `maxBytesWithoutBody`
+ * and one read of 64 KiB stay below it, so that the exchange fails first.
+ */
+export const maxResponseHeadBytes = 262_144;
 /** Maximum size of a response that is passed on, in bytes: eight times the largest tested size. */
 export const maxResponseBytes = 1_073_741_824;
 /** Bytes of a refusal that are read to keep its connection. Reading more costs more than a new connection. */
