--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -10,6 +10,8 @@
 const deadlineMs = 2_500;
 const configApplyMs = 2_000;
 const contactWindowMs = 3_000;
+/** Time from a first change of the configuration to the outage. */
+const outageAfterChangeMs = 1_000;
 /** Length of the outage of the store. */
 const outageMs = 5_500;
 /** Time from the end of the outage to the operator's change. */
@@ -73,7 +75,10 @@
         },
         { timeoutMs: 20_000, what: "all machines serve the first configuration" },
     );
-    await sleep(contactWindowMs + 1_000 + Math.random() * 3_000);
+    await sleep(contactWindowMs + 1_000);
+    put(103, [{ ...viewRoute("pondboard"), timeout: "1300ms" }, droppedRoute]);
+    note("version 103 acknowledged: another timeout");
+    await sleep(outageAfterChangeMs);
 
     if (hasTrouble) {
         proxy.silence();
@@ -118,6 +123,6 @@
     return outdated.length === 0
         ? []
         : [
-              `CONFIG ${outdated.length} of ${answers.length} requests handled by version 100, until ${lastSentAt} ms after the acknowledgement`,
+              `CONFIG ${outdated.length} of ${answers.length} requests handled by version 103, until ${lastSentAt} ms after the acknowledgement`,
           ];
 });
