--- a/review/lib/proxy.mjs
+++ b/review/lib/proxy.mjs
@@ -2,11 +2,15 @@
 import { once } from "node:events";
 import { connect, createServer } from "node:net";
 
+/** Start of a request that waits for changes of the operator's rows. */
+const watchRequest = "GET /-/rows-feed?table-name=op&";
+
 /** @param target - `address:port` to which connections are forwarded */
 export async function startProxy(target) {
     const [host, port] = target.split(":");
     const sockets = new Set();
     let isSilent = false;
+    let lastWatchAt = 0;
     const server = createServer(client => {
         const link = { client, isDead: isSilent, upstream: undefined };
         sockets.add(link);
@@ -22,7 +26,14 @@
         link.upstream = connect(Number(port), host);
         link.upstream.on("error", () => client.destroy());
         link.upstream.on("close", () => link.isDead || client.end());
-        client.on("data", chunk => link.isDead || link.upstream.write(chunk));
+        client.on("data", chunk => {
+            if (chunk.includes(watchRequest)) {
+                lastWatchAt = Date.now();
+            }
+            if (!link.isDead) {
+                link.upstream.write(chunk);
+            }
+        });
         link.upstream.on("data", chunk => link.isDead || client.write(chunk));
     });
     server.listen(0, "127.0.0.1");
@@ -34,6 +45,8 @@
         });
     return {
         address: `127.0.0.1:${server.address().port}`,
+        /** When the last request for changes of the operator's rows came through. */
+        lastWatchAt: () => lastWatchAt,
         /** Silences all connections and, until `restore`, every new one. */
         silence() {
             isSilent = true;
