test(review): daemons served by the store keep the old configuration while it turns their readers away

Case 3, CONFIG. Six daemons in two zones; the store turns away the two that read the configuration row, for 9 s.

--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,4 +1,5 @@
-/** CONFIG: after an outage of the store, daemons serve the old configuration for seconds after the bound. */
+/** CONFIG: while the store turns away the daemons that read it, the daemons that it serves keep the old configuration. */
+import { StoreFault } from "../../packages/standin/dist/index.js";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createConfiguration, hasTrouble, runCase, waitUntil } from "../lib/case.mjs";
 import { createAgent, sendAttempt } from "../lib/clients.mjs";
@@ -8,17 +9,18 @@
 
 const hostName = "pond.example";
 const deadlineMs = 2_500;
-const configApplyMs = 2_000;
 const contactWindowMs = 3_000;
-/** Time from a first change of the configuration to the outage. */
-const outageAfterChangeMs = 1_000;
-/** Length of the outage of the store. */
-const outageMs = 5_500;
-/** Time from the end of the outage to the operator's change. */
-const changeAfterMs = 200;
-/** Time for which requests are sent after the machines are in touch again. */
+/** `config-apply` and the largest stretch of it while the store is not stable, `outer-bound`. */
+const boundMs = 2_000 + 5_000;
+/** Time for which the store turns the machines away, the longest of the site's own days. */
+const turnedAwayMs = 9_000;
+/** Time from the first refusal to the operator's change. */
+const changeAfterMs = 500;
+/** Time for which requests are sent after the bound. */
 const observeMs = 6_000;
 const requestGapMs = 100;
+/** A daemon that reads the operator's rows sends a new request at least this often. */
+const watchPeriodMs = 3_500;
 
 const viewRoute = service => ({
     name: "view",
@@ -36,68 +38,71 @@
     const put = (version, routes) =>
         store.put("op", "config", createConfiguration({ version, hostName, services, routes }));
     put(100, [viewRoute("pondboard"), droppedRoute]);
-    const proxy = await startProxy(store.address);
-    onEnd(() => proxy.close());
-    const site = { region: "mafraq", bounds: skimBounds, store: proxy.address };
-    const machines = [
-        await addMachine({ ...site, name: "pond-a", zone: "mafraq-a", service: "pondboard" }),
-        await addMachine({ ...site, name: "load-a", zone: "mafraq-a", service: "loadlog" }),
-        await addMachine({ ...site, name: "pond-b", zone: "mafraq-b", service: "pondboard" }),
-        await addMachine({ ...site, name: "load-b", zone: "mafraq-b", service: "loadlog" }),
-    ];
-    const upstreams = [];
-    for (const machine of machines) {
-        const upstream = await startUpstream({
-            id: `i-${machine.name}`,
-            service: machine.service(),
-            zone: machine.zone,
-            port: machine.applicationPort,
-            controlPlane: machine.controlPlane,
-            async onRun(run, _request, response) {
-                await sleep(10);
-                response.writeHead(200, answerHeaders(run)).end(`answered by ${run.service}`);
-            },
-        });
-        upstreams.push(upstream);
-        onEnd(() => upstream.close());
+    const machines = [];
+    for (const zone of ["mafraq-a", "mafraq-b"]) {
+        for (const service of ["pondboard", "loadlog", "pondboard"]) {
+            // Each machine reaches the store at an address of its own, where the store can turn it away.
+            const endpoint = await store.openEndpoint();
+            const proxy = await startProxy(endpoint.address);
+            onEnd(() => proxy.close());
+            const name = `${zone}-${machines.length + 1}`;
+            const site = { region: "mafraq", bounds: skimBounds, store: proxy.address };
+            const machine = await addMachine({ ...site, name, zone, service });
+            const upstream = await startUpstream({
+                id: `i-${name}`,
+                service,
+                zone,
+                port: machine.applicationPort,
+                controlPlane: machine.controlPlane,
+                async onRun(run, _request, response) {
+                    await sleep(10);
+                    response.writeHead(200, answerHeaders(run)).end(`answered by ${run.service}`);
+                },
+            });
+            onEnd(() => upstream.close());
+            machines.push({ machine, proxy, endpoint });
+        }
     }
     const agent = createAgent();
-    const attempt = (machine, path) =>
-        sendAttempt({ to: machine.outbound, host: hostName, path, deadlineMs, agent });
-    await waitUntil(
-        async () => (await Promise.all(machines.map(machine => machine.isReady()))).every(ready => ready),
-        { timeoutMs: 20_000, what: "all machines are ready" },
-    );
+    const attempt = ({ outbound }, path) =>
+        sendAttempt({ to: outbound, host: hostName, path, deadlineMs, agent });
     await waitUntil(
         async () => {
-            const answers = await Promise.all(machines.map(machine => attempt(machine, "/view/1").done));
+            const answers = await Promise.all(
+                machines.map(({ machine }) => attempt(machine, "/view/1").done),
+            );
             return answers.every(({ status }) => status === 200);
         },
         { timeoutMs: 20_000, what: "all machines serve the first configuration" },
     );
-    await sleep(contactWindowMs + 1_000);
-    put(103, [{ ...viewRoute("pondboard"), timeout: "1300ms" }, droppedRoute]);
-    note("version 103 acknowledged: another timeout");
-    await sleep(outageAfterChangeMs);
-
+    // The daemons settle after their start; then only the readers ask the store for changes.
+    await sleep(contactWindowMs + 3 * watchPeriodMs);
+    const isReader = ({ proxy }) => Date.now() - proxy.lastWatchAt() < watchPeriodMs;
+    const readers = machines.filter(isReader);
+    const others = machines.filter(entry => !readers.includes(entry)).map(({ machine }) => machine);
+    note(`machines that read the operator's rows: ${readers.map(({ machine }) => machine.name).join(", ")}`);
     if (hasTrouble) {
-        proxy.silence();
-        note("the store is down (silent)");
+        readers.forEach(({ endpoint, proxy }) => {
+            endpoint.setFaults({ fault: StoreFault.Busy });
+            // Requests that the store holds are turned away as well.
+            proxy.reset();
+        });
+        note("the store resets the connections of these, answers them 503, and serves the others");
     }
-    await sleep(outageMs);
-    proxy.restore();
-    const endedAt = Date.now();
-    note("the store is back");
+    const startedAt = Date.now();
     await sleep(changeAfterMs);
     put(107, [viewRoute("loadlog"), addedRoute]);
     const acknowledgedAt = Date.now();
     note("version 107 acknowledged: /view/ moves to loadlog, /added/ is new, /dropped/ is gone");
-    const boundAt = Math.max(acknowledgedAt + configApplyMs, endedAt + contactWindowMs);
-    await sleep(boundAt + 50 - Date.now());
+    const restored = sleep(startedAt + turnedAwayMs - Date.now()).then(() => {
+        readers.forEach(({ endpoint }) => endpoint.setFaults({ fault: StoreFault.None }));
+        note("the store serves all machines");
+    });
+    await sleep(boundMs + 50);
 
     const sent = [];
-    while (Date.now() < boundAt + observeMs) {
-        for (const machine of machines) {
+    while (Date.now() < acknowledgedAt + boundMs + observeMs) {
+        for (const machine of others) {
             for (const path of ["/view/1", "/added/1", "/dropped/1"]) {
                 const request = attempt(machine, path);
                 sent.push(request.done.then(answer => ({ ...answer, machine: machine.name })));
@@ -106,8 +111,9 @@
         await sleep(requestGapMs);
     }
     const answers = await Promise.all(sent);
+    await restored;
     agent.destroy();
-    note(`sent ${answers.length} from ${boundAt - acknowledgedAt} ms after the acknowledgement on`);
+    note(`sent ${answers.length} to ${others.map(({ name }) => name).join(", ")}`);
     const isOutdated = {
         "/view/1": ({ body }) => body === "answered by pondboard",
         "/added/1": ({ status }) => status === 404,
@@ -123,6 +129,6 @@
     return outdated.length === 0
         ? []
         : [
-              `CONFIG ${outdated.length} of ${answers.length} requests handled by version 103, until ${lastSentAt} ms after the acknowledgement`,
+              `CONFIG ${outdated.length} of ${answers.length} requests handled by version 100, until ${lastSentAt} ms after the acknowledgement`,
           ];
 });
--- a/review/lib/proxy.mjs
+++ b/review/lib/proxy.mjs
@@ -54,6 +54,13 @@
         },
         /** Silences the open connections only. */
         silenceOpen,
+        /** Resets the open connections only. */
+        reset() {
+            sockets.forEach(({ client, upstream }) => {
+                upstream?.destroy();
+                client.resetAndDestroy();
+            });
+        },
         /** New connections work again; the silenced ones stay silent. */
         restore: () => (isSilent = false),
         async close() {
