fix(platform): derive the shutdown limit from the deployment's grace period

Cause: the settings template states one limit for calls in flight for every deployment; the bounds that the platform states for each were not read. Change: the adapter reads the bounds and derives the shutdown limit, the time in which new calls are still taken, and the ratio of retries, which repeated a bound of one deployment, too. Missing and invalid bounds have defaults, which are logged.

--- a/packages/daemon/src/runDaemon.ts
+++ b/packages/daemon/src/runDaemon.ts
@@ -9,18 +9,24 @@
     readonly adapters?: AdapterOverrides;
     /** Reads the settings again on SIGHUP. */
     readonly reload?: () => Either<readonly Problem[], ResolvedSettings>;
+    /**
+     * Events about the settings, reported once the daemon has started.
+     * @default []
+     */
+    readonly events?: readonly Event[];
 }
 
 /** Runs a daemon until SIGTERM or SIGINT, and exits after the calls in flight have finished. */
 export async function runDaemon(
     settings: ResolvedSettings,
-    { adapters = {}, reload }: RunOptions = {},
+    { adapters = {}, reload, events = [] }: RunOptions = {},
 ): Promise<void> {
     process.on("uncaughtException", error => exitWithError("process.uncaughtException", error));
     process.on("unhandledRejection", reason => exitWithError("process.unhandledRejection", reason));
     const daemon = await startDaemon(settings, adapters).catch(error =>
         exitWithError("process.startFailed", error),
     );
+    events.forEach(event => daemon.reportEvent(event));
     let stopping = false;
     const stop = () => {
         // Ignores further signals, so that calls in flight keep their time to finish.
--- a/packages/standin/src/site/siteDaemon.ts
+++ b/packages/standin/src/site/siteDaemon.ts
@@ -20,6 +20,11 @@
     readonly store: string;
     /** Existing folder for the settings file. */
     readonly folder: string;
+    /**
+     * Bounds of the deployment, as `name=value` texts.
+     * @default none: the adapter uses its defaults
+     */
+    readonly bounds?: readonly string[];
     /**
      * Additional command-line flags of Node.js.
      * @default []
@@ -62,7 +67,17 @@
 
 /** Starts the bundled daemon with the flags and the settings template of the deployment. */
 export function startSiteDaemon(options: SiteDaemonOptions): SiteDaemon {
-    const { host, failureDomain, region, service, store, folder, nodeFlags = [], logFile } = options;
+    const {
+        host,
+        failureDomain,
+        region,
+        service,
+        store,
+        folder,
+        nodeFlags = [],
+        logFile,
+        bounds = [],
+    } = options;
     const [calls, peer, admin, announcements, readiness] = options.addresses;
     const { advertisedPeer = peer } = options;
     const placeholders: Readonly<Record<string, string>> = {
@@ -77,6 +92,7 @@
         "ip-address}}:{{internal-port-range.1": admin,
         "platform.address": store,
         "heartbeat-interval": "1500ms",
+        bounds: bounds.join(","),
     };
     const file = join(folder, `${host}.jsonc`);
     const template = readFileSync("deploy/settings.template.jsonc", "utf8").replace(
