fix(calls): let a response pause for as long as its call has time

Cause: a fixed limit between two chunks of a response body, at the entry host and at the host of the backend server. Change: after the head, the deadline of the call, its caller or the shutdown limit ends a response. The limit for the head of a hop, which the other daemon refreshes every second, stays.

--- a/packages/daemon/features/steps/answerEnds.ts
+++ b/packages/daemon/features/steps/answerEnds.ts
@@ -77,7 +77,6 @@
         cancellation: createCancellation(),
         timers,
         headIdleTimeoutMs: 0,
-        bodyIdleTimeoutMs: 5_000,
         mayWrite: () => true,
         onInformationalResponse: () => undefined,
         onHead: () => ({ kind: DispositionKind.Pass, sink }),
--- a/packages/daemon/features/steps/answers.ts
+++ b/packages/daemon/features/steps/answers.ts
@@ -200,7 +200,6 @@
             cancellation: createCancellation(),
             timers: createTimers(this.deployment.hosts[0]?.board as Board, Date.now),
             headIdleTimeoutMs: 0,
-            bodyIdleTimeoutMs: 0,
             mayWrite: () => true,
             onInformationalResponse: () => undefined,
             onHead: () => ({
--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -23,7 +23,7 @@
 } from "@tanagertray/core";
 import type { Cancellation } from "./cancellation.js";
 import { capacityHeader, decodeCapacity } from "./capacityHeader.js";
-import { bodySilenceMs, hopSilenceMs, maxHopConnections } from "./constants.js";
+import { hopSilenceMs, maxHopConnections } from "./constants.js";
 import type { CallContext } from "./context.js";
 import { UnknownCause } from "./dialect.js";
 import { entryHostHeader } from "./entryContacts.js";
@@ -214,7 +214,6 @@
         cancellation: attempt.cancellation,
         timers: context.timers,
         headIdleTimeoutMs: hopSilenceMs,
-        bodyIdleTimeoutMs: bodySilenceMs,
         mayWrite() {
             const mayStart = remainingMs(attempt.startBy, context.now()) > 0;
             if (mayStart) {
--- a/packages/daemon/src/adapters/calls/constants.ts
+++ b/packages/daemon/src/adapters/calls/constants.ts
@@ -18,8 +18,6 @@
 /** Silence after which a hop fails, in milliseconds. The other daemon sends a 102 every `progressIntervalMs`. */
 export const hopSilenceMs = 3_000;
 export const progressIntervalMs = 1_000;
-/** Maximum time between two chunks of a response body, in milliseconds. */
-export const bodySilenceMs = 5_000;
 /** Maximum age of a hop token on arrival, in milliseconds; includes the difference between the clocks of two hosts. */
 export const hopTokenValidityMs = 10_000;
 /** Time for which a call stays barred. Longer than a hop can be valid and queued, so that the call cannot start later. */
--- a/packages/daemon/src/adapters/calls/entryContacts.ts
+++ b/packages/daemon/src/adapters/calls/entryContacts.ts
@@ -128,7 +128,6 @@
         cancellation,
         timers,
         headIdleTimeoutMs: probeSilenceMs,
-        bodyIdleTimeoutMs: probeSilenceMs,
         mayWrite: () => true,
         onInformationalResponse: () => undefined,
         onHead: () => ({ kind: DispositionKind.Drop }),
--- a/packages/daemon/src/adapters/calls/exchange.ts
+++ b/packages/daemon/src/adapters/calls/exchange.ts
@@ -42,7 +42,6 @@
     readonly timers: Timers;
     /** Limit of the time without data before the response head; 0 disables it, and only `cancellation` ends the wait. */
     readonly headIdleTimeoutMs: number;
-    readonly bodyIdleTimeoutMs: number;
     /** Called just before the first byte is written; returning false prevents that. */
     readonly mayWrite: () => boolean;
     readonly onInformationalResponse: (status: number) => void;
@@ -320,7 +319,8 @@
 const applyDisposition = {
     [DispositionKind.Pass](state, { sink }) {
         state.sink = sink;
-        restartIdleTimer(state, state.options.bodyIdleTimeoutMs);
+        // A server may pause within its response for as long as the call has time, which `cancellation` limits.
+        state.timer?.cancel();
     },
     [DispositionKind.Drop](state) {
         state.timer?.cancel();
@@ -334,7 +334,7 @@
 };
 
 function handleData(state: Exchange, started: RequestState, chunk: Buffer): void {
-    const { sink, options } = state;
+    const { sink } = state;
     const received = started.connection?.receivedBytes() ?? 0;
     started.receivedAtLastBodyChunk = received;
     const limit = sink === undefined ? maxRefusalBytes : maxResponseBytes;
@@ -345,7 +345,6 @@
     if (sink === undefined) {
         return;
     }
-    restartIdleTimer(state, options.bodyIdleTimeoutMs);
     // The parser reports an empty chunk when it resumes with nothing left to read.
     if (chunk.length > 0 && !sink.write(chunk)) {
         pause(state, started, sink);
@@ -366,10 +365,8 @@
         if (connection !== undefined) {
             connection.resume = undefined;
         }
-        restartIdleTimer(state, state.options.bodyIdleTimeoutMs);
         controller.resume();
     };
-    state.timer?.cancel();
     started.paused = true;
     if (connection !== undefined) {
         connection.resume = resume;
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -11,7 +11,7 @@
 import type { Slot } from "./admissions.js";
 import type { BodyTransfer } from "./bodyTransfers.js";
 import type { Cancellation } from "./cancellation.js";
-import { bodySilenceMs, eagerBodyBytes, maxQueueMs } from "./constants.js";
+import { eagerBodyBytes, maxQueueMs } from "./constants.js";
 import type { CallContext } from "./context.js";
 import { ResponseClass } from "./dialect.js";
 import { exchange, ExchangeEnd, type ExchangeResult } from "./exchange.js";
@@ -175,7 +175,6 @@
         cancellation: call.cancellation,
         timers: context.timers,
         headIdleTimeoutMs: 0,
-        bodyIdleTimeoutMs: bodySilenceMs,
         mayWrite,
         onInformationalResponse: () => undefined,
         onHead(status, raw) {
@@ -275,7 +274,7 @@
         recordUnanswered(context, call, server);
     }
     const hasResponded = context.pools.hasRespondedSince(address, startedAt);
-    if (result.silent || (result.error === deadlinePassed && !hasResponded)) {
+    if (result.error === deadlinePassed && !hasResponded) {
         context.pools.retire(address);
         context.telemetry.event("call.poolReplaced", "warn", { address });
     }
--- a/packages/standin/src/site/siteAnswers.ts
+++ b/packages/standin/src/site/siteAnswers.ts
@@ -69,6 +69,9 @@
 /** Delay before the second response of `DuplicatedLate`. */
 const duplicateDelayMs = 60;
 
+/** Pause within the response of `Paused`. */
+const pauseMs = 6_000;
+
 type Answer = (response: ServerResponse, run: SiteRun, state: SiteState) => void;
 
 /** Creates a handler that writes `start` and then repeats `part` until the connection is closed. */
@@ -132,6 +135,13 @@
     [AnswerMode.Duplicated]: (response, run, state) => {
         response.socket?.write(`${completeResponseText(run, state)}${completeResponseText(run, state)}`);
     },
+    [AnswerMode.Paused]: (response, run, state) => {
+        const body = responseBody(run, state);
+        const middle = Math.floor(body.length / 2);
+        response.writeHead(200, { ...responseHeaders(run, state), "content-length": body.length });
+        response.write(body.slice(0, middle));
+        setTimeout(() => response.end(body.slice(middle)), pauseMs);
+    },
     [AnswerMode.DuplicatedLate]: (response, run, state) => {
         const { socket } = response;
         sendComplete(response, run, state);
--- a/packages/standin/src/site/siteRun.ts
+++ b/packages/standin/src/site/siteRun.ts
@@ -20,6 +20,8 @@
     EncodedInSecondHeader: "encodedLater",
     /** Two complete responses to the same call, in one write. */
     Duplicated: "twice",
+    /** Half of the body, a pause of 6 s, and the rest. */
+    Paused: "paused",
     /** Runs the call and resets the connection without a response. */
     LostAnswer: "lostAnswer",
     /** 503 that does not tell whether the call ran. */
