fix(membership): store a departure before it is acknowledged

Cause: nothing that outlives the processes knew of the departure, and a daemon without memory takes every heartbeat for a current one. Change: a host writes departures to a row of its failure domain and acknowledges them when they are stored, or after 0.7 s. After a start, announcements wait for the read of that row, which comes with the address rows, or for the 5 s by which an announcement may be late. The endpoints of the native interface wait in the same way.

--- a/packages/core/src/admission/announcement.ts
+++ b/packages/core/src/admission/announcement.ts
@@ -5,6 +5,8 @@
 
 /** Time without an announcement after which a backend server gets no more calls, in milliseconds. */
 export const announcementLeaseMs = 3_000;
+/** Time by which an announcement may arrive late, in milliseconds. */
+export const maxAnnouncementDelayMs = 5_000;
 /** Maximum number of backend servers that one host tracks. */
 export const maxBackendServers = 64;
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -52,6 +52,7 @@
 export * from "./admission/backendServer.js";
 export * from "./admission/concurrencyLimit.js";
 export * from "./admission/departures.js";
+export * from "./admission/departureRow.js";
 export * from "./joining/readiness.js";
 export * from "./telemetry/event.js";
 export * from "./telemetry/span.js";
--- a/packages/daemon/src/adapters/admin/backendServerEndpoints.ts
+++ b/packages/daemon/src/adapters/admin/backendServerEndpoints.ts
@@ -1,6 +1,7 @@
 import { problem, ProblemCode, type Announcement } from "@tanagertray/core";
 import type { Board } from "../../board.js";
 import { readJsonObject } from "./body.js";
+import { whenDepartureStored } from "./departureAcknowledgement.js";
 import { maxSmallBodyBytes } from "./constants.js";
 import { Access, type EndpointTable } from "./endpoint.js";
 import { sendJson, sendProblem } from "./responses.js";
@@ -13,10 +14,11 @@
             access: Access.BackendServer,
             async handle({ request, response }) {
                 const body = await readJsonObject(request, maxSmallBodyBytes);
-                body.caseOf({
+                await body.caseOf<Promise<void> | void>({
                     Left: reason => sendProblem(response, reason),
-                    Right: announcement => {
+                    Right: async announcement => {
                         announcements.append(announcement as unknown as Announcement);
+                        await whenDepartureStored(board, String(announcement["id"]));
                         sendJson(response, 202, {});
                     },
                 });
@@ -26,9 +28,9 @@
             access: Access.Operator,
             async handle({ request, response }) {
                 const body = await readJsonObject(request, maxSmallBodyBytes);
-                body.caseOf({
+                await body.caseOf<Promise<void> | void>({
                     Left: reason => sendProblem(response, reason),
-                    Right: ({ backendServer }) => {
+                    Right: async ({ backendServer }) => {
                         const known = board.read("backendServers");
                         if (typeof backendServer !== "string" || !known.has(backendServer)) {
                             const message = "this host does not know the backend server";
@@ -37,6 +39,7 @@
                             return sendProblem(response, problem(ProblemCode.NotFound, message, details));
                         }
                         announcements.append({ kind: "drain", id: backendServer });
+                        await whenDepartureStored(board, backendServer);
                         sendJson(response, 202, { backendServer });
                     },
                 });
--- a/packages/daemon/src/adapters/platform/platformClient.ts
+++ b/packages/daemon/src/adapters/platform/platformClient.ts
@@ -136,9 +136,9 @@
         }
     }
 
-    const subscriptions = (["headReads", "objectReads", "revisionIo", "domainRowIo"] as const).map(feed =>
-        board.follow(feed, enqueue),
-    );
+    const subscriptions = (
+        ["headReads", "objectReads", "revisionIo", "domainRowIo", "departureRowIo"] as const
+    ).map(feed => board.follow(feed, enqueue));
     return {
         async close() {
             subscriptions.forEach(subscription => subscription.close());
--- a/packages/daemon/src/board.ts
+++ b/packages/daemon/src/board.ts
@@ -14,6 +14,7 @@
     type Event,
     type Feed,
     type Head,
+    type HostDeparture,
     type HostObservation,
     type HostRecord,
     type IncomingMessage,
@@ -70,6 +71,20 @@
     readonly since: number;
 }
 
+/** A row of the platform's table service; both fields are `undefined` if it does not exist. */
+export interface ListedRow {
+    readonly row: unknown;
+    readonly tag: string | undefined;
+}
+
+export interface DepartureHistory {
+    /** Whether the departures that were stored before the start of this process are known. */
+    readonly isRead: boolean;
+    readonly departures: readonly HostDeparture[];
+    /** Keys of the stored departures (`departureKey`); `undefined` if this host stores none. */
+    readonly storedKeys: ReadonlySet<string> | undefined;
+}
+
 export interface Membership {
     readonly self: HostRecord;
     readonly records: BucketMap<HostRecord>;
@@ -128,6 +143,7 @@
      */
     domainAddresses: Value<ReadonlyMap<string, readonly string[]> | undefined>;
     domainRowIo: Feed<PlatformCommand>;
+    departureRowIo: Feed<PlatformCommand>;
     platformState: Value<PlatformState>;
     headReads: Feed<PlatformCommand>;
     objectReads: Feed<PlatformCommand>;
@@ -142,6 +158,13 @@
     backendServers: Value<ReadonlyMap<string, BackendServer>>;
     /** Departures of this host's backend servers, by id. */
     departures: Value<ReadonlyMap<string, Departure>>;
+    /**
+     * Row with the departures of this failure domain (`domainDepartures/<failure domain>`) as it was listed last.
+     * `undefined` before the first successful read.
+     */
+    listedDepartureRow: Value<ListedRow | undefined>;
+    /** Departures of this host's backend servers that the platform stores. */
+    departureHistory: Value<DepartureHistory>;
     /** Departures published by other hosts, by host. */
     peerDepartures: Value<ReadonlyMap<string, PeerDepartures>>;
     /** Hosts that offer each service, by service and tier. */
@@ -163,6 +186,7 @@
     platformEvents: Feed<Event>;
     callEvents: Feed<Event>;
     backendServerEvents: Feed<Event>;
+    departureRowEvents: Feed<Event>;
     operatorEvents: Feed<Event>;
     traceEvents: Feed<Event>;
     daemonEvents: Feed<Event>;
@@ -204,6 +228,8 @@
             shutdown: { requested: false, acceptsCallsUntil: 0, abortsCallsAt: Infinity },
             backendServers: new Map(),
             departures: new Map(),
+            listedDepartureRow: undefined,
+            departureHistory: { isRead: true, departures: [], storedKeys: undefined },
             peerDepartures: new Map(),
             targets: new Map(),
             hostObservations: new Map(),
@@ -214,6 +240,7 @@
             peerInbox: feedCapacity,
             membershipOutbox: feedCapacity,
             domainRowIo: feedCapacity,
+            departureRowIo: feedCapacity,
             headReads: feedCapacity,
             objectReads: feedCapacity,
             revisionIo: feedCapacity,
@@ -232,6 +259,7 @@
             platformEvents: feedCapacity,
             callEvents: feedCapacity,
             backendServerEvents: feedCapacity,
+            departureRowEvents: feedCapacity,
             operatorEvents: feedCapacity,
             traceEvents: feedCapacity,
             daemonEvents: feedCapacity,
--- a/packages/daemon/src/controllers/backendServers.ts
+++ b/packages/daemon/src/controllers/backendServers.ts
@@ -1,6 +1,5 @@
 import {
     BackendServerState,
-    EventLevel,
     hasValidLease,
     isLeaving,
     isNewerAnnouncement,
@@ -11,28 +10,32 @@
     type BackendServer,
     type Departure,
     type DrainCommand,
-    type Event,
-    type HostDeparture,
     type IncomingMessage,
 } from "@tanagertray/core";
 import type { Board } from "../board.js";
 import type { Closeable } from "../closeable.js";
 import { createDepartureStore } from "./departureStore.js";
+import { createHeldAnnouncements } from "./heldAnnouncements.js";
+import { createEventReporters, createServerDraining } from "./serverDraining.js";
 
 /** Maintains the list of this host's backend servers from their announcements and drain commands. */
 export function createBackendServers(board: Board): Closeable {
     const servers = board.claimValue("backendServers");
-    const { warn, inform, reportChange } = createEventReporters(board);
+    const reporters = createEventReporters(board);
+    const { warn, reportChange } = reporters;
     const departures = createDepartureStore(board, warn);
+    const draining = createServerDraining(board, { servers, departures, reporters });
     const self = board.read("settings").host;
+    const held = createHeldAnnouncements(board, { apply: applyAnnouncement, warn });
+    let isHistoryRestored = false;
 
     function handleEntry(entry: Announcement | DrainCommand): void {
         if (typeof entry === "object" && entry !== null && "kind" in entry) {
-            applyDrainCommand(entry);
+            draining.start(entry);
         } else {
             readAnnouncement(entry)
                 .ifLeft(({ message, where }) => warn("backendServer.invalid", { message, field: where }))
-                .ifRight(applyAnnouncement);
+                .ifRight(held.accept);
         }
     }
 
@@ -69,45 +72,23 @@
         reportChange(server, known);
     }
 
-    function applyDrainCommand({ id }: DrainCommand): void {
-        const known = board.read("backendServers").get(id);
-        if (known === undefined) {
-            // Its announcements may still arrive, for example after a restart of this daemon.
-            departures.record(id, { since: board.read("clock").now, incarnation: undefined });
-            return warn("backendServer.unknown", { id });
-        }
-        const drainingSince = known.drainingSince ?? board.read("clock").now;
-        departures.record(id, { since: drainingSince, incarnation: known.incarnation });
-        startDraining(known, drainingSince);
-    }
-
-    function startDraining(known: BackendServer, drainingSince: number): void {
-        const server = { ...known, state: BackendServerState.Draining, drainingSince };
-        servers.update(current => new Map(current).set(known.id, server));
-        reportChange(server, known);
-    }
-
-    /** Restores a departure that this host acknowledged before its restart, as returned by a peer. */
-    function restoreDeparture({ id, incarnation }: HostDeparture): void {
-        const { now } = board.read("clock");
-        if (isLeaving(departures.get(id), { incarnation })) {
-            return;
-        }
-        departures.record(id, { since: now, incarnation });
-        inform("backendServer.departureRestored", { id, incarnation });
-        const known = board.read("backendServers").get(id);
-        if (known !== undefined && known.drainingSince === undefined && known.incarnation <= incarnation) {
-            startDraining(known, now);
+    function restoreHistory(): void {
+        const { isRead, departures: stored } = board.read("departureHistory");
+        if (isRead && !isHistoryRestored) {
+            isHistoryRestored = true;
+            stored.forEach(draining.restore);
         }
+        held.release();
     }
 
     function handleMessage({ message }: IncomingMessage): void {
         if (message.kind === MessageKind.Watermark && message.host === self) {
-            message.departures?.forEach(restoreDeparture);
+            message.departures?.forEach(draining.restore);
         }
     }
 
     function dropExpired(): void {
+        held.release();
         const { now } = board.read("clock");
         const current = board.read("backendServers");
         departures.removeExpired(current);
@@ -123,27 +104,12 @@
     const subscriptions = [
         board.follow("announcements", handleEntry),
         board.follow("peerInbox", handleMessage),
+        board.observe(["departureHistory"], restoreHistory),
         board.observe(["clock"], dropExpired),
     ];
     return { close: () => subscriptions.forEach(subscription => subscription.close()) };
 }
 
-function createEventReporters(board: Board) {
-    const events = board.claimFeed("backendServerEvents");
-    const report = (level: EventLevel) => (name: string, fields: Event["fields"]) =>
-        events.append({ name, level, fields });
-    const inform = report(EventLevel.Info);
-    return {
-        warn: report(EventLevel.Warn),
-        inform,
-        reportChange({ id, service, state, incarnation }: BackendServer, known: BackendServer | undefined) {
-            if (known?.state !== state || known.incarnation !== incarnation) {
-                inform("backendServer.changed", { id, service, state, incarnation });
-            }
-        },
-    };
-}
-
 interface MergeInput {
     readonly known: BackendServer | undefined;
     /** Departure that applies to the announced incarnation, if any. */
--- a/packages/daemon/src/controllers/domainRow.ts
+++ b/packages/daemon/src/controllers/domainRow.ts
@@ -7,9 +7,10 @@
     PlatformOperation,
     type PlatformReply,
     type PlatformResult,
+    type TaggedRow,
 } from "@tanagertray/core";
 import { backoffMs } from "../backoff.js";
-import type { Board } from "../board.js";
+import type { Board, ListedRow } from "../board.js";
 import type { Closeable } from "../closeable.js";
 
 /** Time between two reads of the domain rows by a host with too few links, in milliseconds. */
@@ -29,7 +30,11 @@
  * covers the random delay of the first connections and a handshake with a host that does not answer.
  */
 const initialRereadDelayMs = 4_000;
+/** Prefix of the keys of all rows that are kept for each failure domain, which one read returns. */
+const listPrefix = "domain";
 const rowKeyPrefix = "domain/";
+/** Prefix of the key of the row with the departures of a failure domain. */
+export const departureRowKeyPrefix = "domainDepartures/";
 /** Number of links below which a host reads the domain rows. */
 const minLinks = 2;
 
@@ -41,12 +46,14 @@
 /**
  * Reads the domain rows (`domain/<failure domain>`) once after the start, and while this host has too few links. A domain
  * relay also updates the row of its own failure domain. A row lists addresses for the first links of starting hosts and
- * other domains.
+ * other domains. The same read returns the departures of the failure domain.
  */
 export function createDomainRow(board: Board, { random = Math.random }: DomainRowOptions = {}): Closeable {
     const addresses = board.claimValue("domainAddresses");
+    const listedDepartureRow = board.claimValue("listedDepartureRow");
     const commands = board.claimFeed("domainRowIo");
-    const ownKey = `${rowKeyPrefix}${board.read("settings").failureDomain}`;
+    const { failureDomain } = board.read("settings");
+    const ownKey = `${rowKeyPrefix}${failureDomain}`;
     let nextReadAt = board.read("clock").now + random() * maxFirstReadDelayMs;
     let sequence = 0;
     let pendingRead: string | undefined;
@@ -71,7 +78,7 @@
         lastReadAt = now;
         nextReadAt = now + (hasFewLinks ? fewLinksPeriodMs : relayPeriodMs);
         pendingRead = nextCommandId();
-        const request = { operation: PlatformOperation.ListRows, prefix: rowKeyPrefix } as const;
+        const request = { operation: PlatformOperation.ListRows, prefix: listPrefix } as const;
         commands.append({ id: pendingRead, request });
     }
 
@@ -89,16 +96,10 @@
         if (result.answer !== PlatformAnswer.Rows) {
             scheduleRetry(initialRetryDelayMs, failedReads);
         } else {
-            addresses.write(
-                new Map(
-                    result.rows.map(({ key: rowKey, row }) => [
-                        rowKey.slice(rowKeyPrefix.length),
-                        decodeAddresses(row),
-                    ]),
-                ),
-            );
-            const ownRow = result.rows.find(row => row.key === ownKey);
-            writeIfChanged(decodeAddresses(ownRow?.row), ownRow?.tag);
+            addresses.write(decodeAddressRows(result.rows));
+            listedDepartureRow.write(findRow(result.rows, `${departureRowKeyPrefix}${failureDomain}`));
+            const { row, tag } = findRow(result.rows, ownKey);
+            writeIfChanged(decodeAddresses(row), tag);
         }
     }
 
@@ -163,6 +164,19 @@
     return answer === PlatformAnswer.Conflict ? rereadAfterConflictMs : rereadAfterWriteMs;
 }
 
+function findRow(rows: readonly TaggedRow[], key: string): ListedRow {
+    const found = rows.find(row => row.key === key);
+    return { row: found?.row, tag: found?.tag };
+}
+
+function decodeAddressRows(rows: readonly TaggedRow[]): ReadonlyMap<string, readonly string[]> {
+    return new Map(
+        rows
+            .filter(({ key }) => key.startsWith(rowKeyPrefix))
+            .map(({ key, row }) => [key.slice(rowKeyPrefix.length), decodeAddresses(row)]),
+    );
+}
+
 function decodeAddresses(row: unknown): readonly string[] {
     const list: unknown = typeof row === "object" && row !== null ? Reflect.get(row, "addresses") : undefined;
     const isAddress = (entry: unknown): entry is string => typeof entry === "string" && isEndpoint(entry);
--- a/packages/daemon/src/eventFeeds.ts
+++ b/packages/daemon/src/eventFeeds.ts
@@ -10,6 +10,7 @@
     "platformEvents",
     "callEvents",
     "backendServerEvents",
+    "departureRowEvents",
     "operatorEvents",
     "traceEvents",
     "daemonEvents",
--- a/packages/daemon/src/start.ts
+++ b/packages/daemon/src/start.ts
@@ -15,6 +15,7 @@
 import type { Closeable } from "./closeable.js";
 import { createBackendServers } from "./controllers/backendServers.js";
 import { createConfigurationController } from "./controllers/configuration.js";
+import { createDepartureRow } from "./controllers/departureRow.js";
 import { createDomainRow } from "./controllers/domainRow.js";
 import { createHeadReading } from "./controllers/headReading.js";
 import { createMembership } from "./controllers/membership.js";
@@ -85,6 +86,7 @@
         createMembership(board),
         createTopology(board),
         createDomainRow(board),
+        createDepartureRow(board),
     ];
     const calls = await createCalls(board, { dialect });
     const peerServer = await openListener(settings.listen.peer, calls.handleHop);
--- a/packages/standin/src/fleet/emulatedHost.ts
+++ b/packages/standin/src/fleet/emulatedHost.ts
@@ -8,6 +8,7 @@
 } from "@tanagertray/daemon/adapters/platform/platformClient";
 import { createBackendServers } from "@tanagertray/daemon/controllers/backendServers";
 import { createConfigurationController } from "@tanagertray/daemon/controllers/configuration";
+import { createDepartureRow } from "@tanagertray/daemon/controllers/departureRow";
 import { createDomainRow } from "@tanagertray/daemon/controllers/domainRow";
 import { createHeadReading } from "@tanagertray/daemon/controllers/headReading";
 import { createMembership } from "@tanagertray/daemon/controllers/membership";
@@ -77,6 +78,7 @@
         createMembership(board, { random }),
         createTopology(board),
         createDomainRow(board, { random }),
+        createDepartureRow(board, { random }),
         createPlatformClient(board, () => options.platform, { now }),
         createPeers(board, { transport: options.transport, random }),
     ];
--- a/packages/standin/src/site/siteServer.ts
+++ b/packages/standin/src/site/siteServer.ts
@@ -56,6 +56,7 @@
     deregister(): Promise<number>;
     /** Sends one announcement, with the given fields in place of its own. */
     announce(change?: Readonly<Record<string, unknown>>): Promise<number>;
+    stopAnnouncing(): void;
     close(): Promise<void>;
 }
 
@@ -135,6 +136,7 @@
             return requestStatus("DELETE", `http://${resolved.daemon}/-/instances/${resolved.id}`);
         },
         announce,
+        stopAnnouncing: () => clearInterval(timer),
         async close() {
             clearInterval(timer);
             state.stallMonitor.close();
