fix(distribution): move the reads of the head row to hosts that are served

Cause: the duty to read belonged to a host that is alive, not to one that the store serves, and no other host knew how old the last answer was. Change: the reader reports each answered read. Three hosts of each domain have a place in an order and take over after 0.7 of the freshness limit without a report, or when the link to the reader closes. The check of neighbours counts a place in the order as a role, with a limit of its own (5), and new checks demand that the hosts of a domain agree on the order and that its places are linked.

--- a/packages/core/features/membership.feature
+++ b/packages/core/features/membership.feature
@@ -74,7 +74,8 @@
         Then every domain has 1 head reader and 2 domain relays
         And every region has 2 region relays
         And the links of all hosts connect the whole membership
-        And a host without a role has at most 3 neighbours
+        And the hosts of a domain agree on the 3 that read the head row, which are linked
+        And a host without a role has at most 3 neighbours, and one that may read the head row at most 5
 
     # Guards against a reassignment of all roles when one host is lost.
     Scenario: Rendezvous hashing reassigns only the keys of the lost host
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -48,6 +48,7 @@
 export * from "./membership/relaying.js";
 export * from "./membership/rendezvous.js";
 export * from "./membership/topology.js";
+export * from "./membership/headDuty.js";
 export * from "./messages/peerMessage.js";
 export * from "./admission/backendServer.js";
 export * from "./admission/concurrencyLimit.js";
--- a/packages/core/src/membership/constants.ts
+++ b/packages/core/src/membership/constants.ts
@@ -26,8 +26,11 @@
 export const minVersionIntervalMs = 1_000;
 /** Target rate of records that differ only in the version, over the whole deployment. */
 export const versionPublicationsPerSecond = 20;
-/** Number of head readers in each failure domain. If one fails, the peer links deliver new versions. */
-export const headReadersPerDomain = 1;
+/**
+ * Number of hosts in each failure domain that read the head row, in a fixed order: the first one reads, and each further
+ * one takes over if those before it are not served or do not run. The platform may turn away a third of the hosts.
+ */
+export const headReadersPerDomain = 3;
 /** Number of relays in each failure domain and in each region. */
 export const relaysPerGroup = 2;
 /** Number of ring successors to which each host keeps a link. */
--- a/packages/core/src/membership/topology.ts
+++ b/packages/core/src/membership/topology.ts
@@ -11,7 +11,10 @@
 
 /** Roles and neighbours of a host. */
 export interface Topology {
+    /** Whether this host is the first of `headReaders`. */
     readonly headReader: boolean;
+    /** Hosts of the failure domain that read the head row, in the order in which they take over. */
+    readonly headReaders: readonly string[];
     readonly domainRelay: boolean;
     readonly regionRelay: boolean;
     /** Hosts to which this host should have a link. */
@@ -41,11 +44,14 @@
     if (regionRelay) {
         [...regions.keys()].flatMap(regionRelaysOf).forEach(host => neighbourHosts.add(host));
     }
+    const headReaders = rendezvousHash(`head/${self.failureDomain}`, members, headReadersPerDomain);
+    if (headReaders.includes(self.host)) {
+        headReaders.forEach(host => neighbourHosts.add(host));
+    }
     neighbourHosts.delete(self.host);
     return {
-        headReader: rendezvousHash(`head/${self.failureDomain}`, members, headReadersPerDomain).includes(
-            self.host,
-        ),
+        headReader: headReaders[0] === self.host,
+        headReaders,
         domainRelay,
         regionRelay,
         neighbours: [...neighbourHosts].map(host => ({ host, address: live.get(host)?.peerAddress ?? "" })),
--- a/packages/core/src/messages/peerMessage.ts
+++ b/packages/core/src/messages/peerMessage.ts
@@ -6,6 +6,7 @@
 
 export const MessageKind = {
     Heartbeat: "heartbeat",
+    HeadRead: "headRead",
     Records: "records",
     Digest: "digest",
     RecordRequest: "recordRequest",
@@ -49,6 +50,11 @@
     readonly manifestHash: string;
 }
 
+/** Reports that the platform has answered a read of the head row by the sender. */
+export interface HeadRead {
+    readonly kind: typeof MessageKind.HeadRead;
+}
+
 export interface Records {
     readonly kind: typeof MessageKind.Records;
     readonly records: readonly HostRecord[];
@@ -143,6 +149,7 @@
 
 export type PeerMessage =
     | Heartbeat
+    | HeadRead
     | Records
     | Digest
     | RecordRequest
--- a/packages/daemon/features/steps/callFixture.ts
+++ b/packages/daemon/features/steps/callFixture.ts
@@ -179,7 +179,7 @@
             region: "r1",
             listen: { calls: loopback, peer: loopback, admin: loopback },
             advertise: { peer: loopback },
-            platform: { url: "http://127.0.0.1:9", watchMs: 0, patienceMs: 0 },
+            platform: { url: "http://127.0.0.1:9", watchMs: 0, freshnessMs: 6_000, patienceMs: 0 },
             peers: [],
             keys: { operator: [], backendServer: [], peer: ["new-key", "old-key"] },
             spread: "eager",
--- a/packages/daemon/features/steps/sampleMessages.ts
+++ b/packages/daemon/features/steps/sampleMessages.ts
@@ -22,6 +22,7 @@
 /** One sample message of each kind. */
 export const sampleMessages: { [K in MessageKind]: Extract<PeerMessage, { kind: K }> } = {
     heartbeat: { kind: MessageKind.Heartbeat, version: 1, manifestHash: "h" },
+    headRead: { kind: MessageKind.HeadRead },
     records: { kind: MessageKind.Records, records: [hostRecord] },
     digest: { kind: MessageKind.Digest, buckets: [1, 0xffff_ffff] },
     recordRequest: { kind: MessageKind.RecordRequest, buckets: [0, 63] },
--- a/packages/daemon/src/adapters/peers/messageChecks.ts
+++ b/packages/daemon/src/adapters/peers/messageChecks.ts
@@ -87,6 +87,7 @@
         version: integer(),
         manifestHash: name,
     }),
+    [MessageKind.HeadRead]: createMessageCheck(MessageKind.HeadRead, {}),
     [MessageKind.Records]: createMessageCheck(MessageKind.Records, {
         records: listOf(hostRecord, maxRecordsPerMessage),
     }),
--- a/packages/daemon/src/adapters/peers/peers.ts
+++ b/packages/daemon/src/adapters/peers/peers.ts
@@ -58,8 +58,8 @@
     });
     const subscriptions = [
         board.observe(["clock"], () => tick(context)),
-        ...(["membershipOutbox", "configurationOutbox", "joiningOutbox"] as const).map(feed =>
-            board.follow(feed, outgoing => send(context, outgoing)),
+        ...(["membershipOutbox", "configurationOutbox", "joiningOutbox", "headDutyOutbox"] as const).map(
+            feed => board.follow(feed, outgoing => send(context, outgoing)),
         ),
         board.follow("callsOutbox", outgoing => sendOrQueue(context, outgoing)),
     ];
--- a/packages/daemon/src/board.ts
+++ b/packages/daemon/src/board.ts
@@ -71,6 +71,11 @@
     readonly since: number;
 }
 
+export interface HeadDuty {
+    /** Whether this host reads the head row. */
+    readonly isReading: boolean;
+}
+
 /** A row of the platform's table service; both fields are `undefined` if it does not exist. */
 export interface ListedRow {
     readonly row: unknown;
@@ -145,6 +150,8 @@
     domainRowIo: Feed<PlatformCommand>;
     departureRowIo: Feed<PlatformCommand>;
     platformState: Value<PlatformState>;
+    headDuty: Value<HeadDuty>;
+    headDutyOutbox: Feed<OutgoingMessage>;
     headReads: Feed<PlatformCommand>;
     objectReads: Feed<PlatformCommand>;
     revisionIo: Feed<PlatformCommand>;
@@ -187,6 +194,7 @@
     callEvents: Feed<Event>;
     backendServerEvents: Feed<Event>;
     departureRowEvents: Feed<Event>;
+    headDutyEvents: Feed<Event>;
     operatorEvents: Feed<Event>;
     traceEvents: Feed<Event>;
     daemonEvents: Feed<Event>;
@@ -212,7 +220,14 @@
                 watermarks: createBucketMap(),
                 compositionChanges: 0,
             },
-            topology: { headReader: false, domainRelay: false, regionRelay: false, neighbours: [] },
+            topology: {
+                headReader: false,
+                headReaders: [],
+                domainRelay: false,
+                regionRelay: false,
+                neighbours: [],
+            },
+            headDuty: { isReading: false },
             domainAddresses: undefined,
             platformState: {
                 head: undefined,
@@ -241,6 +256,7 @@
             membershipOutbox: feedCapacity,
             domainRowIo: feedCapacity,
             departureRowIo: feedCapacity,
+            headDutyOutbox: feedCapacity,
             headReads: feedCapacity,
             objectReads: feedCapacity,
             revisionIo: feedCapacity,
@@ -260,6 +276,7 @@
             callEvents: feedCapacity,
             backendServerEvents: feedCapacity,
             departureRowEvents: feedCapacity,
+            headDutyEvents: feedCapacity,
             operatorEvents: feedCapacity,
             traceEvents: feedCapacity,
             daemonEvents: feedCapacity,
--- a/packages/daemon/src/controllers/headReading.ts
+++ b/packages/daemon/src/controllers/headReading.ts
@@ -13,19 +13,24 @@
 /** Time between two reads of the head row, in milliseconds. */
 const headReadPeriodMs = 1_000;
 /**
- * Longest delay between two reads while the platform does not serve the head row, or while there is none and this host
- * is not the head reader, in milliseconds.
+ * Longest delay between two reads while there is no head row and this host is not the head reader, or while the platform
+ * does not serve it, in milliseconds. The head reader retries within half of the freshness limit.
  */
 const maxRetryDelayMs = 5_000;
+/**
+ * Time for which the platform may hold a read while it is not known to serve this host, in milliseconds. Its answer shows
+ * that sooner than one after `watchMs`.
+ */
+const probeWatchMs = 100;
 /** Time after which an unanswered read no longer delays the next one, in milliseconds. */
 const replyDeadlineMs = 5_000;
 /** Prefix of the request ids of head reads; a sequence number follows. */
 const readIdPrefix = "head-";
 
-/** Reads the head row while this host is a head reader of its failure domain, one request at a time. */
+/** Reads the head row while this host has the duty to, one request at a time. */
 export function createHeadReading(board: Board): Closeable {
     const reads = board.claimFeed("headReads");
-    const { watchMs } = board.read("settings").platform;
+    const { watchMs, freshnessMs } = board.read("settings").platform;
     // A platform that supports long polling answers when the row changes, so the next read follows immediately.
     const servedPeriodMs = watchMs > 0 ? 0 : headReadPeriodMs;
     let nextReadAt = 0;
@@ -35,20 +40,23 @@
     /** Consecutive reads that found no head row. */
     let missing = 0;
     let isReading = false;
+    /** Whether the platform has answered the last read, and this host has had the duty to read since then. */
+    let isServed = false;
 
     function readIfDue(): void {
         const { now } = board.read("clock");
         const { head, headTag } = board.read("platformState");
         // Every host reads until it has seen a head row: one that started before the first version was accepted would
         // otherwise not learn that its own version is current.
-        const isDue = now >= nextReadAt && (board.read("topology").headReader || head === undefined);
+        const isDue = now >= nextReadAt && (board.read("headDuty").isReading || head === undefined);
         if (!isDue) {
             return;
         }
         nextReadAt = now + replyDeadlineMs + watchMs;
         isReading = true;
         sequence += 1;
-        const condition = headTag === undefined ? {} : { knownTag: headTag, waitMs: watchMs };
+        const waitMs = isServed ? watchMs : Math.min(watchMs, probeWatchMs);
+        const condition = headTag === undefined ? {} : { knownTag: headTag, waitMs };
         const request = { operation: PlatformOperation.ReadRow, key: headKey, ...condition } as const;
         reads.append({ id: `${readIdPrefix}${sequence}`, request });
     }
@@ -59,17 +67,20 @@
         }
         isReading = false;
         const { answer } = result;
-        const isUnserved = answer === PlatformAnswer.Lost || answer === PlatformAnswer.Refused;
-        failures = isUnserved ? failures + 1 : 0;
+        isServed = answer !== PlatformAnswer.Lost && answer !== PlatformAnswer.Refused;
+        failures = isServed ? 0 : failures + 1;
         missing = answer === PlatformAnswer.Missing ? missing + 1 : 0;
-        nextReadAt = board.read("clock").now + delayAfter({ isUnserved });
+        nextReadAt = board.read("clock").now + delayAfterReply();
     }
 
-    function delayAfter({ isUnserved }: { readonly isUnserved: boolean }): number {
+    function delayAfterReply(): number {
+        const isUnserved = failures > 0;
         const isPatient = missing > 0 && !board.read("topology").headReader;
         if (isUnserved || isPatient) {
             const attempts = isUnserved ? failures : missing + 1;
-            return backoffMs(attempts, { initialMs: headReadPeriodMs, maxMs: maxRetryDelayMs });
+            const isReader = isUnserved && board.read("topology").headReader;
+            const maxMs = isReader ? Math.min(maxRetryDelayMs, freshnessMs / 2) : maxRetryDelayMs;
+            return backoffMs(attempts, { initialMs: headReadPeriodMs, maxMs });
         }
         return missing > 0 ? headReadPeriodMs : servedPeriodMs;
     }
@@ -83,8 +94,14 @@
         }
     }
 
+    function handleDuty(): void {
+        isServed &&= board.read("headDuty").isReading;
+        readIfDue();
+    }
+
     const subscriptions = [
         board.observe(["clock"], readIfDue),
+        board.observe(["headDuty"], handleDuty),
         board.follow("platformReplies", handleReply),
         board.follow("peerInbox", handleMessage),
     ];
--- a/packages/daemon/src/eventFeeds.ts
+++ b/packages/daemon/src/eventFeeds.ts
@@ -11,6 +11,7 @@
     "callEvents",
     "backendServerEvents",
     "departureRowEvents",
+    "headDutyEvents",
     "operatorEvents",
     "traceEvents",
     "daemonEvents",
--- a/packages/daemon/src/settings/checkSettings.ts
+++ b/packages/daemon/src/settings/checkSettings.ts
@@ -21,6 +21,7 @@
     maxSecretLength,
     maxSecrets,
     maxSettingMs,
+    minFreshnessMs,
     minLinkMbps,
     minSecretLength,
 } from "./constants.js";
@@ -43,6 +44,8 @@
     unit: "milliseconds",
 };
 
+const freshnessRule: Rule = { ...wholeMsRule, min: minFreshnessMs };
+
 const fractionalMsRule: Rule = {
     kind: RuleKind.Number,
     min: 0,
@@ -70,7 +73,7 @@
         platform: {
             kind: RuleKind.Group,
             required: { url: urlRule },
-            optional: { watchMs: wholeMsRule, patienceMs: wholeMsRule },
+            optional: { watchMs: wholeMsRule, freshnessMs: freshnessRule, patienceMs: wholeMsRule },
         },
         keys: {
             kind: RuleKind.Group,
--- a/packages/daemon/src/settings/constants.ts
+++ b/packages/daemon/src/settings/constants.ts
@@ -13,3 +13,5 @@
 /** Range of the link bandwidth in megabits per second: from an old radio link to 1000 times a common network card. */
 export const minLinkMbps = 0.1;
 export const maxLinkMbps = 1_000_000;
+/** Lowest freshness limit, in milliseconds. Below it, hosts would take over reads whose answer is on its way. */
+export const minFreshnessMs = 1_000;
--- a/packages/daemon/src/settings/resolveSettings.ts
+++ b/packages/daemon/src/settings/resolveSettings.ts
@@ -10,6 +10,8 @@
 
 /** Bandwidth of a common server network card, in megabits per second. */
 const defaultLinkMbps = 1_000;
+/** Two thirds of the time in which an accepted version has to be in force at the size that the design targets. */
+const defaultFreshnessMs = 6_000;
 
 /**
  * Resolves every default of validated settings.
@@ -34,6 +36,7 @@
         platform: {
             url: settings.platform.url,
             watchMs: settings.platform.watchMs ?? 0,
+            freshnessMs: settings.platform.freshnessMs ?? defaultFreshnessMs,
             patienceMs: settings.platform.patienceMs ?? objectStoreFallbackDelayMs,
         },
         peers: settings.peers ?? [],
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -37,6 +37,12 @@
          * @default 0
          */
         watchMs?: number;
+        /**
+         * Longest time in milliseconds in which an accepted version should be in force on every host. Other hosts take
+         * over the reads of the head row well within it. Must be longer than `watchMs` and the time of an answer.
+         * @default 6000
+         */
+        freshnessMs?: number;
         /**
          * Longest time in milliseconds that a starting host waits for a peer with the accepted version before it reads
          * the object store. Use 0 for a platform that returns the whole version together with the head row.
@@ -124,7 +130,12 @@
     readonly region: string;
     readonly listen: { readonly calls: Endpoint; readonly peer: Endpoint; readonly admin: Endpoint };
     readonly advertise: { readonly peer: Endpoint };
-    readonly platform: { readonly url: string; readonly watchMs: number; readonly patienceMs: number };
+    readonly platform: {
+        readonly url: string;
+        readonly watchMs: number;
+        readonly freshnessMs: number;
+        readonly patienceMs: number;
+    };
     readonly peers: readonly string[];
     readonly keys: {
         readonly operator: readonly string[];
--- a/packages/daemon/src/start.ts
+++ b/packages/daemon/src/start.ts
@@ -17,6 +17,7 @@
 import { createConfigurationController } from "./controllers/configuration.js";
 import { createDepartureRow } from "./controllers/departureRow.js";
 import { createDomainRow } from "./controllers/domainRow.js";
+import { createHeadDuty } from "./controllers/headDuty.js";
 import { createHeadReading } from "./controllers/headReading.js";
 import { createMembership } from "./controllers/membership.js";
 import { createPeerDepartures } from "./controllers/peerDepartures.js";
@@ -76,6 +77,7 @@
     const events = board.claimFeed("daemonEvents");
     const reportEvent = (event: Event) => events.append(event);
     const controllers = [
+        createHeadDuty(board),
         createHeadReading(board),
         createConfigurationController(board),
         createReadiness(board),
--- a/packages/standin/src/fleet/emulatedFleet.ts
+++ b/packages/standin/src/fleet/emulatedFleet.ts
@@ -19,6 +19,8 @@
      * @default 300
      */
     readonly startSpreadMs?: number;
+    /** Longest time in which an accepted version should be in force, in milliseconds. */
+    readonly freshnessMs?: number;
     /** @default profiles.azraq */
     readonly profile?: NetworkProfile;
     readonly random: () => number;
@@ -103,6 +105,7 @@
                 random,
                 transport: connections.createTransport(location, address),
                 platform: platform.createTransport(location),
+                freshnessMs: options.freshnessMs,
                 onEvent: event => onEvent(name, event),
             }),
         );
--- a/packages/standin/src/fleet/emulatedHost.ts
+++ b/packages/standin/src/fleet/emulatedHost.ts
@@ -10,6 +10,7 @@
 import { createConfigurationController } from "@tanagertray/daemon/controllers/configuration";
 import { createDepartureRow } from "@tanagertray/daemon/controllers/departureRow";
 import { createDomainRow } from "@tanagertray/daemon/controllers/domainRow";
+import { createHeadDuty } from "@tanagertray/daemon/controllers/headDuty";
 import { createHeadReading } from "@tanagertray/daemon/controllers/headReading";
 import { createMembership } from "@tanagertray/daemon/controllers/membership";
 import { createPeerDepartures } from "@tanagertray/daemon/controllers/peerDepartures";
@@ -47,17 +48,27 @@
     readonly random: () => number;
     readonly transport: PeerTransport;
     readonly platform: PlatformTransport;
+    /**
+     * Longest time in which an accepted version should be in force, in milliseconds. The platform delays its answer to a
+     * read of the head row for half of it.
+     * @default the default of the settings, with a delay of 3 s
+     */
+    readonly freshnessMs?: number | undefined;
     /** @default () => undefined */
     readonly onEvent?: (event: Event) => void;
 }
 
 /** Starts the product's controllers, its platform client and its peer adapter on a virtual clock. */
 export function startEmulatedHost(options: EmulatedHostOptions): EmulatedHost {
-    const { location, address, service, queue, random, onEvent = () => undefined } = options;
+    const { location, address, service, queue, random, onEvent = () => undefined, freshnessMs } = options;
     const settings = resolveSettings({
         ...location,
         listen: { calls: "127.0.0.1:1", peer: address, admin: "127.0.0.1:1" },
-        platform: { url: "http://127.0.0.1:1", watchMs, patienceMs: 0 },
+        platform: {
+            url: "http://127.0.0.1:1",
+            patienceMs: 0,
+            ...(freshnessMs === undefined ? { watchMs } : { watchMs: freshnessMs / 2, freshnessMs }),
+        },
         trustedNetwork: true,
     });
     const now = () => epochMs + Math.round(queue.now());
@@ -69,6 +80,7 @@
         board.follow(feed, onEvent),
     );
     const parts: Closeable[] = [
+        createHeadDuty(board, { random }),
         createHeadReading(board),
         createConfigurationController(board),
         createReadiness(board),
