fix(calls): end an attempt only when another one has answered

Cause: for a backend server that seemed silent, the entry host cancelled the running attempt before it knew that another host would take the call. Change: the entry host selects another host, takes a retry from the budget and sends a second attempt beside the first one. The first response head is passed on and ends the other attempt; a refusal of the second one changes nothing.

--- a/packages/daemon/features/silence.feature
+++ b/packages/daemon/features/silence.feature
@@ -12,6 +12,32 @@
             | GET    | completed | 2    | 150   | 1500 |
             | POST   | unknown   | 1    | 2500  | 4000 |
 
+    # Guards against an attempt that is given up for silence before it is known that another host takes the call: with the
+    # slots of the others full, the caller got 502 although its backend server was about to answer.
+    @graceful-shutdown
+    Scenario Outline: A repeatable call whose backend server is slow is answered by it if <others>
+        Given a call deployment of <hosts> hosts with 1 slot each where the entry host has no backend server
+        And 80 "GET" calls that were answered
+        And <held> calls that hold a slot
+        When a backend server answers a "GET" call to "/slow" slowly
+        Then the unanswered call ends as "completed" after 1 runs, 500 to 4500 ms after its start
+        And its first run was not cancelled
+
+        Examples:
+            | others              | hosts | held |
+            | the others are full | 3     | 1    |
+            | the others are full | 4     | 2    |
+            | there is no other   | 2     | 0    |
+
+    # Guards against a slow answer that is passed on beside that of another host, or that ends its response.
+    @own-answer
+    Scenario: Of two answers to a call only the first one is passed on
+        Given a call deployment of 3 hosts where the entry host has no backend server
+        And 80 "GET" calls that were answered
+        When a backend server leaves a "GET" call unanswered that has 3000 ms left
+        Then the unanswered call ends as "completed" after 2 runs, 150 to 1500 ms after its start
+        And its first run was cancelled
+
     # Guards against slow work that is given up for silence, and so adds load when there is the least room for it.
     Scenario: Slow work is not repeated beyond the retry budget, and every call is answered
         Given a call deployment of 3 hosts where the entry host has no backend server
--- a/packages/daemon/features/steps/silence.ts
+++ b/packages/daemon/features/steps/silence.ts
@@ -2,7 +2,8 @@
 import assert from "node:assert/strict";
 import { randomUUID } from "node:crypto";
 import { call, type Answer } from "./callClient.js";
-import { entryOf, resultOf, runsOf, type Answered, type World } from "./callWorld.js";
+import { createDeployment } from "./callFixture.js";
+import { entryOf, eventually, resultOf, runsOf, type Answered, type World } from "./callWorld.js";
 
 interface SilenceWorld extends World {
     answer: Answer;
@@ -10,6 +11,8 @@
 }
 
 const okStatus = 200;
+/** More than the longest wait in the queue of a full host, after which the call is sent to another one. */
+const slowDeadlineMs = 5_000;
 
 function makeCalls(world: World, count: number, method: string, path: string): Promise<Answered[]> {
     return Promise.all(
@@ -17,6 +20,23 @@
     );
 }
 
+Given(
+    "a call deployment of {int} hosts with 1 slot each where the entry host has no backend server",
+    async function (this: World, hosts: number) {
+        this.deployment = await createDeployment({ hosts, slots: 1, entryLacksBackend: true });
+        this.answers = [];
+    },
+);
+
+Given("{int} calls that hold a slot", async function (this: World, count: number) {
+    const { ledger } = this.deployment;
+    const runsBefore = ledger.length;
+    for (let held = 1; held <= count; held += 1) {
+        void call(entryOf(this), { method: "POST", path: "/held/10/waiting", callId: randomUUID() });
+        assert.ok(await eventually(2_000, () => ledger.length === runsBefore + held));
+    }
+});
+
 /** Calls made at once while the times of the operation are learned: below the slots of one host. */
 const callsAtOnce = 10;
 
@@ -27,13 +47,18 @@
     }
 });
 
-async function leaveUnanswered(world: SilenceWorld, method: string, deadlineMs: number): Promise<void> {
+async function leaveUnanswered(
+    world: SilenceWorld,
+    method: string,
+    deadlineMs: number,
+    path = "/unanswered",
+): Promise<void> {
     const callId = randomUUID();
     world.deployment.brokenCalls.add(callId);
     const startedAt = performance.now();
     const headers = { "tanagertray-deadline-ms": String(deadlineMs) };
     world.callId = callId;
-    world.answer = await call(entryOf(world), { method, path: "/unanswered", callId, headers });
+    world.answer = await call(entryOf(world), { method, path, callId, headers });
     world.elapsedMs = performance.now() - startedAt;
 }
 
@@ -44,6 +69,19 @@
     },
 );
 
+When(
+    "a backend server answers a {string} call to {string} slowly",
+    function (this: SilenceWorld, method: string, path: string) {
+        return leaveUnanswered(this, method, slowDeadlineMs, path);
+    },
+);
+
+Then(/^its first run was (not )?cancelled$/, async function (this: SilenceWorld, not: string | null) {
+    const [first] = runsOf(this, this.callId);
+    assert.ok(await eventually(1_000, () => first?.cancelled === true || first?.finished === true));
+    assert.equal(first?.cancelled, not === null);
+});
+
 Then(
     "the unanswered call ends as {string} after {int} runs, {int} to {int} ms after its start",
     function (this: SilenceWorld, result: string, runs: number, least: number, most: number) {
--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -32,7 +32,7 @@
 import { currentVersion } from "../../controllers/advertisement.js";
 import { routeHeader } from "./hopRoute.js";
 import { attemptHeader, signHop } from "./hopToken.js";
-import { callerDisconnected, startWithinHeader, type IncomingCall } from "./incoming.js";
+import { answeredElsewhere, callerDisconnected, startWithinHeader, type IncomingCall } from "./incoming.js";
 import { runLocally } from "./localCall.js";
 import { DispositionKind, type Disposition, type ResponseSink } from "./disposition.js";
 import { logRejection } from "./rejections.js";
@@ -70,6 +70,9 @@
     readonly outcomeReported: boolean;
 }
 
+/** Reasons of a cancellation that show nothing about the host. */
+const harmlessReasons: ReadonlySet<Error | undefined> = new Set([callerDisconnected, answeredElsewhere]);
+
 const failureByEnd = {
     [ExchangeEnd.Completed]: undefined,
     [ExchangeEnd.NeverWritten]: AttemptFailure.NeverWritten,
@@ -97,7 +100,7 @@
         if (reason === RefusalReason.WaitTooLong && tier !== Tier.OwnHost) {
             recordWaitRefusal(observation, callGroup(attempt.call.matched), retryAfterMs, context.now());
         }
-    } else if (outcome.failure !== undefined && attempt.cancellation.reason !== callerDisconnected) {
+    } else if (outcome.failure !== undefined && !harmlessReasons.has(attempt.cancellation.reason)) {
         recordFailure(observation, context.now());
         if (outcome.failure === AttemptFailure.NeverWritten) {
             // No connection could be opened, so further calls to the host would only consume the redirect budget.
--- a/packages/daemon/src/adapters/calls/entryCall.ts
+++ b/packages/daemon/src/adapters/calls/entryCall.ts
@@ -27,8 +27,6 @@
     backendAttempts: number;
     /** Whether the last attempt failed because of its connection, not because the host refused it. */
     connectionFailed: boolean;
-    /** Whether a retry was consumed while the last attempt was in progress, because its backend server did not answer. */
-    retryConsumed: boolean;
     /** Whether an attempt may have run. If so, a later refusal does not mean that the call did not run. */
     mayHaveRun: boolean;
     lastRefusal: Refusal | undefined;
--- a/packages/daemon/src/adapters/calls/handleEntry.ts
+++ b/packages/daemon/src/adapters/calls/handleEntry.ts
@@ -1,6 +1,5 @@
 import {
     AttemptFailure,
-    CallOutcome,
     chooseTarget,
     isFinalRefusal,
     minRefusedWaitMs,
@@ -18,12 +17,12 @@
 } from "@tanagertray/core";
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { callGroup, makeAttempt, mayHaveReachedBackend, type AttemptOutcome } from "./attempt.js";
+import { callGroup, mayHaveReachedBackend, type AttemptOutcome } from "./attempt.js";
 import { maxFateWaitMs, maxHostsTried, minAttemptMs } from "./constants.js";
 import type { CallContext } from "./context.js";
 import { CallResult, logCallEnd, logLateCall, type EntryCall } from "./entryCall.js";
 import { UnknownCause } from "./dialect.js";
-import { headerValue, outcomeHeader, responseHeaders } from "./headers.js";
+import { makeEntryAttempt } from "./entryAttempt.js";
 import {
     callerDisconnected,
     CallPlace,
@@ -40,8 +39,7 @@
 } from "./incoming.js";
 import { currentVersion } from "../../controllers/advertisement.js";
 import { createRequestBody } from "./requestBody.js";
-import { createSink, isRequestComplete, resetConnection, respond } from "./responses.js";
-import { openSilenceScope } from "./silenceScope.js";
+import { resetConnection, respond } from "./responses.js";
 import { hopDurations, localDurations } from "./stageTimes.js";
 
 /** Minimum time to wait for the fate of a call, even if its deadline has passed, in milliseconds. */
@@ -49,9 +47,6 @@
 /** Assumed size of a response, including the heads of request and response, in kilobytes. */
 const assumedResponseKilobytes = 2;
 const bytesPerKilobyte = 1_024;
-const outcomeHeaders: ReadonlySet<string> = new Set([outcomeHeader]);
-const noHeaders: ReadonlySet<string> = new Set();
-const unknownOutcomeHeader = [outcomeHeader, CallOutcome.Unknown];
 
 /** Forwards a caller's request to a host that offers the service, and sends the response to the caller. */
 export async function handleEntry(
@@ -109,7 +104,6 @@
         retries: 0,
         backendAttempts: 0,
         connectionFailed: false,
-        retryConsumed: false,
         mayHaveRun: false,
         lastRefusal: undefined,
         stages: { arrivedAt, readAt, startedAt: readAt },
@@ -147,7 +141,11 @@
         }
         entry.triedHosts.add(selection.target.host);
         const attemptId = randomUUID();
-        const outcome = await attemptOnce(context, entry, selection, attemptId);
+        const outcome = await makeEntryAttempt(context, entry, {
+            selection,
+            attemptId,
+            selectOther: () => selectTarget(context, entry, { mayRepeatHost: false }),
+        });
         if (outcome.failure === undefined) {
             return CallResult.Completed;
         }
@@ -181,10 +179,6 @@
     const { service, maxAttempts } = entry.call.matched;
     if (mayHaveReachedBackend(outcome)) {
         entry.backendAttempts += 1;
-        if (entry.retryConsumed) {
-            entry.retryConsumed = false;
-            return true;
-        }
         return context.retryBudgets.consumeRetry(service.name, {
             retries: entry.backendAttempts - 1,
             maxAttempts,
@@ -197,7 +191,11 @@
     });
 }
 
-function selectTarget(context: CallContext, entry: EntryCall): Selection | undefined {
+function selectTarget(
+    context: CallContext,
+    entry: EntryCall,
+    { mayRepeatHost = entry.connectionFailed } = {},
+): Selection | undefined {
     const { service } = entry.call.matched;
     const targets = context.board.read("targets").get(service.name);
     recordOwnCapacity(context, service, targets);
@@ -216,9 +214,7 @@
         return undefined;
     }
     // A failed connection does not mean that its host is down, so the host is tried again if there is no other.
-    const fallback = entry.connectionFailed
-        ? chooseTarget(targets, { ...options, excluded: new Set() })
-        : undefined;
+    const fallback = mayRepeatHost ? chooseTarget(targets, { ...options, excluded: new Set() }) : undefined;
     const selection = chooseTarget(targets, options) ?? fallback;
     const refusedWaitMs = selection === undefined ? minRefusedWaitMs(targets, options) : undefined;
     if (refusedWaitMs !== undefined) {
@@ -240,55 +236,6 @@
     }
 }
 
-async function attemptOnce(
-    context: CallContext,
-    entry: EntryCall,
-    selection: Selection,
-    attemptId: string,
-): Promise<AttemptOutcome> {
-    const { call, callId, deadline, startBy, response, cancellation, traceparent } = entry;
-    const { arrivedAt, readAt } = entry.stages;
-    const stages = { arrivedAt, readAt, startedAt: entry.retries === 0 ? readAt : context.now() };
-    entry.stages = stages;
-    entry.selection = selection;
-    const body = entry.body.open();
-    const silence = openSilenceScope(context, entry);
-    const outcome = await makeAttempt(context, {
-        call,
-        callId,
-        attemptId,
-        deadline,
-        startBy,
-        selection,
-        body,
-        onSilence: silence?.onSilence,
-        traceparent,
-        cancellation: silence?.cancellation ?? cancellation,
-        stages,
-        onHead(status, raw) {
-            entry.status = status;
-            const closes = context.board.read("shutdown").requested && isRequestComplete(response);
-            const connectionHeader = closes ? ["connection", "close"] : [];
-            // A "not run" response covers this attempt only, not an earlier one that was lost.
-            const allowedHeaders = entry.mayHaveRun ? noHeaders : outcomeHeaders;
-            const outcomeOverride = entry.mayHaveRun && reportsNotRun(raw) ? unknownOutcomeHeader : [];
-            response.writeHead(status, [
-                ...responseHeaders(raw, allowedHeaders),
-                ...outcomeOverride,
-                ...connectionHeader,
-            ]);
-            return createSink(response);
-        },
-    });
-    silence?.close();
-    body.close();
-    return outcome;
-}
-
-function reportsNotRun(raw: readonly string[]): boolean {
-    return headerValue(raw, outcomeHeader) === CallOutcome.NotRun;
-}
-
 /** Chooses the next step after a failed attempt. `Retry` is returned only if the call may be sent again. */
 async function chooseNextStep(
     context: CallContext,
--- a/packages/daemon/src/adapters/calls/incoming.ts
+++ b/packages/daemon/src/adapters/calls/incoming.ts
@@ -238,6 +238,7 @@
 export const callerDisconnected = new Error("the caller closed its connection");
 export const shutdownLimitReached = new Error("the shutdown limit for calls in flight was reached");
 export const deadlinePassed = new Error("the deadline passed");
+export const answeredElsewhere = new Error("another attempt of the call was answered");
 
 /** Which connection of a call was closed. */
 export const CallPlace = {
