fix(calls): a late deadline timer is no time to answer

Cause: whether a backend server had time to answer was judged by the time from the sending of the call until the process noticed its deadline. A busy process notices it late, and a call with 100 ms left then counted as unanswered, which lowers what is sent to the backend server. Evidence: with a pause of 400 ms at the deadline, the new scenario failed before the change.

--- a/packages/daemon/features/silence.feature
+++ b/packages/daemon/features/silence.feature
@@ -58,3 +58,10 @@
         And 80 "POST" calls that were answered
         When 4 "POST" calls with 100 ms left are left unanswered, one after another
         Then no call was recorded as unanswered
+
+    # Guards against a deadline that this process notices late, which gave the backend server no more time.
+    Scenario: A pause of the process at the deadline of a call does not count as time to answer
+        Given a call deployment of 1 hosts
+        And 80 "POST" calls that were answered
+        When a "POST" call with 100 ms left is left unanswered while the process is paused for 400 ms
+        Then no call was recorded as unanswered
--- a/packages/daemon/features/steps/silence.ts
+++ b/packages/daemon/features/steps/silence.ts
@@ -134,3 +134,15 @@
     const names = this.deployment.hosts.flatMap(({ events }) => events.map(({ name }) => name));
     assert.ok(!names.includes("call.unanswered"));
 });
+
+When(
+    "a {string} call with {int} ms left is left unanswered while the process is paused for {int} ms",
+    async function (this: SilenceWorld, method: string, deadlineMs: number, pauseMs: number) {
+        const { ledger } = this.deployment;
+        const runsBefore = ledger.length;
+        const unanswered = leaveUnanswered(this, method, deadlineMs);
+        assert.ok(await eventually(1_000, () => ledger.length > runsBefore));
+        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, pauseMs);
+        await unanswered;
+    },
+);
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -234,9 +234,14 @@
 }
 
 /** Whether the backend server had more time than the call is likely to take. Under load, calls start with little time left. */
-function hadTimeToAnswer({ admissions, now }: CallContext, { matched, stages }: LocalCall): boolean {
+function hadTimeToAnswer(
+    { admissions, now }: CallContext,
+    { matched, stages, deadline }: LocalCall,
+): boolean {
     const limitMs = admissions.silenceLimitMs(matched.service, matched.operation.name, Infinity);
-    return limitMs !== undefined && now() - (stages.sentAt ?? now()) >= limitMs;
+    // A busy process notices the deadline late.
+    const endedAt = Math.min(now(), deadline);
+    return limitMs !== undefined && endedAt - (stages.sentAt ?? endedAt) >= limitMs;
 }
 
 function recordUnanswered(context: CallContext, call: LocalCall, server: BackendServer): void {
