--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./platform.js";
 export * from "./backendServer.js";
 export * from "./relay.js";
+export * from "./freezableRelay.js";
 export * from "./freePorts.js";
 export * from "./ledger.js";
 export * from "./loadGenerator.js";
