fix(daemon): end platform reads and trace exports at their timeout while they connect

Where packets were dropped, a read of 2 s and the end of a process with spans to export waited for the library's connect timeout of 10 s.

--- a/packages/daemon/features/admin.feature
+++ b/packages/daemon/features/admin.feature
@@ -83,6 +83,11 @@
         When 5 spans are exported to a collector that answers with status 500
         Then 5 spans are reported as dropped
 
+    # Guards against a process that ends seconds late because its last spans wait for a connection to the collector.
+    Scenario: A collector that accepts no connections delays the end by one export timeout at most
+        When 5 spans are exported to a collector that accepts no connections, and the exporter is closed
+        Then 5 spans are reported as lost within 6 s
+
     Scenario: Requests over the concurrency limit are refused, and health checks still work
         When 64 requests with unfinished bodies are open at the admin listener
         And the admin path "GET /v1/status" is requested with the token "operator-token-0001"
--- a/packages/daemon/features/platform.feature
+++ b/packages/daemon/features/platform.feature
@@ -30,3 +30,11 @@
         When the head row is read
         Then the read counts as lost and no head row or read time is recorded
         And the platform wrote at most 48 MB
+
+    # Guards against a read whose limit does not hold while a connection is made, so that the next one comes seconds after
+    # the end of the outage.
+    @store-down
+    Scenario: A read of a platform that accepts no connections ends at its timeout
+        Given a platform behind a relay that drops new connections
+        When the head row is read
+        Then the read counts as lost and no head row or read time is recorded
--- a/packages/daemon/features/steps/adminWorld.ts
+++ b/packages/daemon/features/steps/adminWorld.ts
@@ -18,6 +18,8 @@
     lines: string[];
     exported: number;
     dropped: number;
+    /** Time in which the export of spans was closed, in milliseconds. */
+    closedAfterMs: number;
 }
 
 export const tokens = [
--- a/packages/daemon/features/steps/platformAnswers.ts
+++ b/packages/daemon/features/steps/platformAnswers.ts
@@ -3,12 +3,14 @@
 import { createBoard, resolveSettings, type Board, type Closeable } from "@tanagertray/daemon";
 import { createHttpTransport } from "@tanagertray/daemon/adapters/platform/httpTransport";
 import { createPlatformClient } from "@tanagertray/daemon/adapters/platform/platformClient";
+import { startFreezableRelay, type FreezableRelay } from "@tanagertray/standin";
 import assert from "node:assert/strict";
 import { createServer, type AddressInfo, type Server, type Socket } from "node:net";
 import { waitFor } from "./adminWorld.js";
 
 interface World {
     answeringPlatform?: Server;
+    droppingRelay?: FreezableRelay;
     answeringClient?: Closeable;
     answeringBoard: Board;
     reply: PlatformReply | undefined;
@@ -16,10 +18,11 @@
     bytesWritten: number;
 }
 
-After(function (this: Partial<World>) {
-    void this.answeringClient?.close();
+After(async function (this: Partial<World>) {
+    await this.answeringClient?.close();
     this.answeringBoard?.close();
     this.answeringPlatform?.close();
+    await this.droppingRelay?.close();
 });
 
 async function openPlatform(world: World, respond: (socket: Socket) => void): Promise<void> {
@@ -30,13 +33,23 @@
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     world.answeringPlatform = server;
     world.bytesWritten = 0;
-    const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+    createAnsweringBoard(world, `http://127.0.0.1:${(server.address() as AddressInfo).port}`);
+}
+
+function createAnsweringBoard(world: World, url: string): void {
     const listen = { calls: "127.0.0.1:1", peer: "127.0.0.1:1", admin: "127.0.0.1:1" };
     const keys = { operator: [], backendServer: [], peer: ["key"] };
     const location = { host: "a1", failureDomain: "a", region: "r1", peers: [] };
     world.answeringBoard = createBoard(resolveSettings({ ...location, listen, platform: { url }, keys }), 1);
 }
 
+Given("a platform behind a relay that drops new connections", async function (this: World) {
+    // Nothing is forwarded before the relay is stopped.
+    this.droppingRelay = await startFreezableRelay("127.0.0.1:1");
+    await this.droppingRelay.freeze();
+    createAnsweringBoard(this, `http://${this.droppingRelay.address}`);
+});
+
 Given(/^a platform whose head row reads '(.*)'$/, async function (this: World, text: string) {
     await openPlatform(this, socket => {
         socket.write(`HTTP/1.1 200 OK\r\netag: 1\r\ncontent-length: ${text.length}\r\n\r\n${text}`);
--- a/packages/daemon/features/steps/telemetry.ts
+++ b/packages/daemon/features/steps/telemetry.ts
@@ -1,14 +1,19 @@
 import { Then, When } from "@cucumber/cucumber";
 import type { Span } from "@tanagertray/core";
-import { createBoard, createLog, createTraces, resolveSettings } from "@tanagertray/daemon";
+import { createBoard, createLog, createTraces, resolveSettings, type Board } from "@tanagertray/daemon";
 import { createTrafficCounter } from "@tanagertray/daemon/adapters/peers/traffic";
+import { startFreezableRelay } from "@tanagertray/standin";
 import assert from "node:assert/strict";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { Writable } from "node:stream";
+import { setTimeout as sleep } from "node:timers/promises";
 import { send, tokens, waitFor, type World } from "./adminWorld.js";
 import { validSettings } from "./validSettings.js";
 
+/** Time after which the first export has begun, in milliseconds. */
+const exportStartMs = 1_500;
+
 function makeSpan(durationMs: number): Span {
     return {
         traceId: "0".repeat(31) + "1",
@@ -103,6 +108,24 @@
     assert.equal(summary?.omitted, 10);
 });
 
+/** Creates a board whose spans are exported to the collector; `onDropped` gets the number of spans of each loss. */
+function createExportBoard(collector: string, onDropped: (spans: number) => void): Board {
+    const settings = validSettings();
+    settings.traces = { exporter: "otlp", url: `${collector}/v1/traces` };
+    const board = createBoard(resolveSettings(settings), 0);
+    board.follow("traceEvents", ({ name, fields }) =>
+        onDropped(name === "trace.dropped" ? Number(fields["spans"]) : 0),
+    );
+    return board;
+}
+
+function appendSpans(board: Board, count: number): void {
+    const spans = board.claimFeed("spans");
+    for (let index = 0; index < count; index += 1) {
+        spans.append(makeSpan(index));
+    }
+}
+
 When(
     "{int} spans are exported to a collector that answers with status {int}",
     async function (this: World, count: number, status: number) {
@@ -120,17 +143,9 @@
         });
         await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
         const { port } = server.address() as AddressInfo;
-        const settings = validSettings();
-        settings.traces = { exporter: "otlp", url: `http://127.0.0.1:${port}/v1/traces` };
-        const board = createBoard(resolveSettings(settings), 0);
-        board.follow("traceEvents", ({ name, fields }) => {
-            world.dropped += name === "trace.dropped" ? Number(fields["spans"]) : 0;
-        });
+        const board = createExportBoard(`http://127.0.0.1:${port}`, spans => (world.dropped += spans));
         const traces = createTraces(board);
-        const spanFeed = board.claimFeed("spans");
-        for (let index = 0; index < count; index += 1) {
-            spanFeed.append(makeSpan(index));
-        }
+        appendSpans(board, count);
         await waitFor(() => (status === 200 ? world.exported === count : world.dropped === count));
         await traces.close();
         server.close();
@@ -138,6 +153,36 @@
     },
 );
 
+When(
+    "{int} spans are exported to a collector that accepts no connections, and the exporter is closed",
+    { timeout: 30_000 },
+    async function (this: World, count: number) {
+        const world = Object.assign(this, { dropped: 0, closedAfterMs: 0 });
+        // Nothing is forwarded before the relay is stopped.
+        const relay = await startFreezableRelay("127.0.0.1:1");
+        await relay.freeze();
+        const board = createExportBoard(`http://${relay.address}`, () => undefined);
+        board.follow("traceEvents", ({ name }) => {
+            world.dropped += name === "trace.exportFailed" ? count : 0;
+        });
+        const traces = createTraces(board);
+        appendSpans(board, count);
+        await sleep(exportStartMs);
+        const startedAt = performance.now();
+        await traces.close();
+        world.closedAfterMs = performance.now() - startedAt;
+        await relay.close();
+    },
+);
+
+Then(
+    "{int} spans are reported as lost within {int} s",
+    function (this: World, count: number, seconds: number) {
+        assert.equal(this.dropped, count);
+        assert.ok(this.closedAfterMs <= seconds * 1_000, `${this.closedAfterMs} ms`);
+    },
+);
+
 Then("the collector received {int} spans", function (this: World, count: number) {
     assert.equal(this.exported, count);
 });
--- a/packages/daemon/src/adapters/platform/httpTransport.ts
+++ b/packages/daemon/src/adapters/platform/httpTransport.ts
@@ -6,7 +6,9 @@
 } from "@tanagertray/core";
 import { Pool, type Dispatcher } from "undici";
 import type { Board } from "../../board.js";
+import { connectTimeoutMs } from "../calls/constants.js";
 import { maxMessageBytes } from "../peers/constants.js";
+import { untilAborted } from "../untilAborted.js";
 import { maxRequestsInFlight, type PlatformTransport } from "./platformClient.js";
 
 /** Timeout of reads, in milliseconds. */
@@ -20,6 +22,8 @@
 export function createHttpTransport(board: Board): PlatformTransport {
     const pool = new Pool(board.read("settings").platform.url, {
         connections: maxRequestsInFlight,
+        // The kernel repeats a lost opening packet after a second; a new connection then gets through sooner.
+        connect: { timeout: connectTimeoutMs },
         maxResponseSize: maxResponseBytes,
     });
     return { send: request => sendRequest(pool, request), close: () => pool.destroy() };
@@ -29,17 +33,22 @@
     const codec = operationCodecs[request.operation] as OperationCodec<PlatformRequest>;
     try {
         const { method, path, headers, body, timeoutMs } = codec.encode(request);
-        const response = await pool.request({
-            method,
-            path,
-            headers,
-            ...(body === undefined ? {} : { body }),
-            signal: AbortSignal.timeout(timeoutMs),
-        });
-        const bytes = new Uint8Array(await response.body.arrayBuffer());
-        return (
-            decodeStatus(response.statusCode) ?? codec.decode(bytes, String(response.headers["etag"] ?? ""))
-        );
+        const signal = AbortSignal.timeout(timeoutMs);
+        const readResult = async () => {
+            const response = await pool.request({
+                method,
+                path,
+                headers,
+                ...(body === undefined ? {} : { body }),
+                signal,
+            });
+            const bytes = new Uint8Array(await response.body.arrayBuffer());
+            return (
+                decodeStatus(response.statusCode) ??
+                codec.decode(bytes, String(response.headers["etag"] ?? ""))
+            );
+        };
+        return await untilAborted(signal, readResult());
     } catch (error) {
         return {
             answer: PlatformAnswer.Lost,
--- a/packages/daemon/src/adapters/traces.ts
+++ b/packages/daemon/src/adapters/traces.ts
@@ -3,6 +3,7 @@
 import type { Board } from "../board.js";
 import type { Closeable } from "../closeable.js";
 import { TraceExporter } from "../settings/settings.js";
+import { untilAborted } from "./untilAborted.js";
 
 /** Limit of the spans waiting for export. Further spans are dropped and counted. */
 const maxPendingSpans = 2_048;
@@ -69,20 +70,22 @@
     async function exportBatch(): Promise<void> {
         const spans = pendingSpans.splice(0, maxBatchSpans);
         const body = JSON.stringify(encodeBatch(resource, spans));
-        try {
+        const signal = AbortSignal.timeout(exportTimeoutMs);
+        const request = async () => {
             const response = await pool.request({
                 path: `${collector.pathname}${collector.search}`,
                 method: "POST",
                 headers: { "content-type": "application/json" },
                 body,
-                headersTimeout: exportTimeoutMs,
-                bodyTimeout: exportTimeoutMs,
-                signal: AbortSignal.timeout(exportTimeoutMs),
+                signal,
             });
             await response.body.dump();
             if (response.statusCode >= 300) {
                 throw new Error(`the collector responded with status ${response.statusCode}`);
             }
+        };
+        try {
+            await untilAborted(signal, request());
         } catch (error) {
             droppedCount += spans.length;
             appendEvent("trace.exportFailed", EventLevel.Warn, { error: String(error) });
@@ -108,7 +111,7 @@
             if (pendingSpans.length > 0) {
                 await exportBatch();
             }
-            await pool.close();
+            await pool.destroy();
         },
     };
 }
