fix(distribution): begin a takeover of the head reads with a short read

A host that takes over did so with a read that the platform may hold as long as for the reader, because its answers from before the time without the duty still counted.

Change: answers from before the duty do not count.

Evidence: headDuty.feature "first read of a host that takes over" failed in both rows before; the feature passes.

--- a/packages/daemon/features/headDuty.feature
+++ b/packages/daemon/features/headDuty.feature
@@ -77,6 +77,19 @@
             | 24    | 6       | 8      |
             | 108   | 9       | 8      |
 
+    # Guards against a host that takes over with a read that the platform may hold as for the reader: without an answer, its
+    # next one came a second later.
+    @in-force-everywhere @store-down
+    Scenario Outline: The first read of a host that takes over is a short one
+        Given an emulated fleet of <hosts> hosts in <domains> domains with a freshness limit of 2 s
+        When the platform is silent for <outage> s
+        Then each first read of a host that took over was held for at most 100 ms
+
+        Examples:
+            | hosts | domains | outage |
+            | 2     | 1       | 2      |
+            | 24    | 6       | 2      |
+
     # Guards against hosts that read although the reader is served: each read of the platform is paid for.
     Scenario Outline: Only the readers read while the platform serves them
         Given an emulated fleet of <hosts> hosts in <domains> domains with a freshness limit of 2 s
--- a/packages/daemon/features/steps/headDuty.ts
+++ b/packages/daemon/features/steps/headDuty.ts
@@ -1,5 +1,5 @@
 import { Given, Then, When } from "@cucumber/cucumber";
-import { generateConfiguration, PlatformOperation } from "@tanagertray/core";
+import { generateConfiguration, headKey, PlatformOperation, type PlatformRequest } from "@tanagertray/core";
 import { createEmulatedFleet, type EmulatedFleet } from "@tanagertray/standin/fleet/emulatedFleet";
 import type { EmulatedHost } from "@tanagertray/standin/fleet/emulatedHost";
 import assert from "node:assert/strict";
@@ -10,6 +10,8 @@
     fleet: EmulatedFleet;
     acceptedAt: number;
     turnedAway: ReadonlySet<string>;
+    /** First read of the head row of each host that took over, by host. */
+    firstReads: ReadonlyMap<string, PlatformRequest>;
 }
 
 const seed = 11;
@@ -51,7 +53,23 @@
     this.fleet.cutPlatform(({ host }) => this.turnedAway.has(host));
 });
 
+/** Records the first read of the head row of each host that does not read it now. */
+function recordFirstReads(fleet: EmulatedFleet): ReadonlyMap<string, PlatformRequest> {
+    const firstReads = new Map<string, PlatformRequest>();
+    for (const { board, location } of fleet.hosts()) {
+        if (!board.read("headDuty").isReading) {
+            board.follow("headReads", ({ request }) => {
+                if (!firstReads.has(location.host)) {
+                    firstReads.set(location.host, request);
+                }
+            });
+        }
+    }
+    return firstReads;
+}
+
 When("the platform is silent for {float} s", { timeout }, async function (this: World, seconds: number) {
+    this.firstReads = recordFirstReads(this.fleet);
     this.fleet.cutPlatform(() => true);
     await this.fleet.runUntil(this.fleet.queue.now() + seconds * 1_000);
     this.fleet.cutPlatform(() => false);
@@ -79,6 +97,17 @@
     },
 );
 
+Then(
+    "each first read of a host that took over was held for at most {int} ms",
+    function (this: World, maximum: number) {
+        const reads = [...this.firstReads.values()].filter(
+            request => request.operation === PlatformOperation.ReadRow && request.key === headKey,
+        );
+        assert.ok(reads.length > 0);
+        reads.forEach(read => assert.ok("waitMs" in read && (read.waitMs ?? 0) <= maximum));
+    },
+);
+
 When("{int} s pass without a change", { timeout }, async function (this: World, seconds: number) {
     const { fleet } = this;
     const reads = () => fleet.requests().get(PlatformOperation.ReadRow) ?? 0;
--- a/packages/daemon/src/controllers/headReading.ts
+++ b/packages/daemon/src/controllers/headReading.ts
@@ -40,15 +40,20 @@
     /** Consecutive reads that found no head row. */
     let missing = 0;
     let isReading = false;
-    /** Whether the platform has answered the last read, and this host has had the duty to read since then. */
+    let hasDuty = false;
+    /** Whether the platform has answered the last read since this host got the duty to read. */
     let isServed = false;
 
     function readIfDue(): void {
         const { now } = board.read("clock");
         const { head, headTag } = board.read("platformState");
+        const { isReading: isOnDuty } = board.read("headDuty");
+        // An answer from before a time without the duty does not show that the platform still serves this host.
+        isServed &&= hasDuty || !isOnDuty;
+        hasDuty = isOnDuty;
         // Every host reads until it has seen a head row: one that started before the first version was accepted would
         // otherwise not learn that its own version is current.
-        const isDue = now >= nextReadAt && (board.read("headDuty").isReading || head === undefined);
+        const isDue = now >= nextReadAt && (isOnDuty || head === undefined);
         if (!isDue) {
             return;
         }
@@ -94,14 +99,8 @@
         }
     }
 
-    function handleDuty(): void {
-        isServed &&= board.read("headDuty").isReading;
-        readIfDue();
-    }
-
     const subscriptions = [
-        board.observe(["clock"], readIfDue),
-        board.observe(["headDuty"], handleDuty),
+        board.observe(["clock", "headDuty"], readIfDue),
         board.follow("platformReplies", handleReply),
         board.follow("peerInbox", handleMessage),
     ];
