fix(distribution): take turns to read the head row while the platform serves nobody

Cause: the hosts of a failure domain backed off independently, so that their reads came close together and then not for 2 s.

Change: the hosts in the order derive turns from the time of the last answer, which all of them know; one of them reads every half of the freshness limit. platform.headReadFailed logs each read that was not served.

Evidence: headDuty.feature "have read in turn" (half of the bound after 21 outages each): 2 of 4 rows failed before, all pass.

--- a/packages/core/features/membership.feature
+++ b/packages/core/features/membership.feature
@@ -100,3 +100,17 @@
     Scenario: A change to a bucket map leaves its older copies unchanged
         When random changes are made to a bucket map and to a plain map
         Then both maps agree after every change and older copies stay as they were
+
+    # Guards against a failure domain without the platform whose hosts all read at the same time, or not at all for long.
+    @in-force-everywhere @store-down
+    Scenario Outline: The turns of <places> hosts without the platform are evenly spread
+        Given an order of <places> hosts that the platform answered 1000 ms ago, with a freshness limit of 2000 ms
+        When each of them reads at its turns for 20 s
+        Then the reads of all of them are at most <gap> ms apart
+        And those of one host are at least 1500 ms apart
+
+        Examples:
+            | places | gap  |
+            | 1      | 1500 |
+            | 2      | 1000 |
+            | 3      | 1000 |
--- a/packages/core/src/membership/headDuty.ts
+++ b/packages/core/src/membership/headDuty.ts
@@ -1,9 +1,15 @@
-/** Decides whether a host reads the head row in place of a head reader that is not served or does not run. */
+/** Decides which host of a failure domain reads the head row, and when those read that the platform does not serve. */
 
 /** Share of the freshness limit after which the first backup takes over. */
 const takeoverShare = 0.7;
 /** Share of the freshness limit by which each further backup waits longer. */
 const stepShare = 0.1;
+/** Share of the freshness limit after which the first turn of an unserved failure domain comes. */
+const firstTurnShare = 0.9;
+/** Share of the freshness limit between two turns of a failure domain. */
+const turnShare = 0.5;
+/** Shortest time between two turns of one host, as a share of the freshness limit. */
+const minTurnPeriodShare = 0.75;
 
 export interface HeadDutyFacts {
     /** Milliseconds since the epoch. */
@@ -60,3 +66,44 @@
     const waitMs = (silenceShare + steps * stepShare) * freshnessMs;
     return now - lastReportAt >= waitMs;
 }
+
+/** Whether the platform has answered a host of the failure domain so recently that nobody need take over. */
+export function isDomainServed(answeredAt: number, facts: { now: number; freshnessMs: number }): boolean {
+    return facts.now - answeredAt < takeoverShare * facts.freshnessMs;
+}
+
+export interface HeadTurnFacts {
+    /** Place of this host in the order of `HeadDutyFacts.readers`. */
+    readonly place: number;
+    /** Number of hosts in the order. */
+    readonly places: number;
+    /** Time of the last answered read of the failure domain. All hosts in the order know it from the reports. */
+    readonly answeredAt: number;
+    /** Time of the last read of this host. */
+    readonly lastReadAt: number;
+    readonly freshnessMs: number;
+}
+
+/**
+ * Time of the next read of a host in a failure domain that the platform does not serve. The hosts in the order take turns,
+ * so that a read comes at short and even intervals although each of them reads rarely.
+ *
+ * @returns milliseconds since the epoch
+ * @example
+ * ```ts
+ * // Of two hosts with a freshness limit of 2 s, the first one reads 1.8 s, 3.8 s and 5.8 s after the last answer.
+ * nextHeadTurnAt({ place: 0, places: 2, answeredAt: 0, lastReadAt: 1_800, freshnessMs: 2_000 }); // 3800
+ * ```
+ */
+export function nextHeadTurnAt({
+    place,
+    places,
+    answeredAt,
+    lastReadAt,
+    freshnessMs,
+}: HeadTurnFacts): number {
+    const firstAt = answeredAt + (firstTurnShare + place * turnShare) * freshnessMs;
+    const periodMs = Math.max(places * turnShare, minTurnPeriodShare) * freshnessMs;
+    const turnsSoFar = Math.floor((lastReadAt - firstAt) / periodMs) + 1;
+    return firstAt + Math.max(0, turnsSoFar) * periodMs;
+}
--- a/packages/daemon/features/headDuty.feature
+++ b/packages/daemon/features/headDuty.feature
@@ -77,6 +77,21 @@
             | 24    | 6       | 8      |
             | 108   | 9       | 8      |
 
+    # Guards against hosts of a failure domain whose reads come close together and then not for 2 s: in force only after half
+    # of the bound.
+    @in-force-everywhere @store-down
+    Scenario Outline: After outages of 5 to 7 s, <hosts> hosts in <domains> domains have read in turn
+        Given emulated fleets of <hosts> hosts in <domains> domains with a freshness limit of 2 s
+        When the platform is silent for 5, 5.1 and so on up to 7 s, and a version is accepted 0.2 s later
+        Then every host of each fleet has it in force within 1.4 s
+
+        Examples:
+            | hosts | domains |
+            | 1     | 1       |
+            | 2     | 1       |
+            | 4     | 2       |
+            | 6     | 2       |
+
     # Guards against a host that takes over with a read that the platform may hold as for the reader: without an answer, its
     # next one came a second later.
     @in-force-everywhere @store-down
--- a/packages/daemon/features/steps/headDuty.ts
+++ b/packages/daemon/features/steps/headDuty.ts
@@ -8,6 +8,9 @@
 
 interface World {
     fleet: EmulatedFleet;
+    createFleet: () => Promise<EmulatedFleet>;
+    /** Time from the acceptance of the version until it was in force everywhere, for each length of the outage. */
+    delays: { readonly outageMs: number; readonly delayMs: number }[];
     acceptedAt: number;
     turnedAway: ReadonlySet<string>;
     /** First read of the head row of each host that took over, by host. */
@@ -18,6 +21,8 @@
 const timeout = realTimeLimitMs;
 /** Time after which a fleet of these sizes has started and settled, in milliseconds. */
 const settledMs = 12_000;
+/** Time after which a version counts as not distributed, in milliseconds. */
+const longestDelayMs = 10_000;
 const firstVersion = generateConfiguration(createFleetAnswers(), { version: 1 });
 const secondVersion = generateConfiguration(createFleetAnswers(), { version: 2 });
 
@@ -34,20 +39,70 @@
 
 const versionOf = ({ board }: EmulatedHost) => board.read("configuration").held?.manifest.version;
 
+/** Starts a fleet that has settled with the first version. */
+async function startFleet(hosts: number, domains: number, freshnessMs: number): Promise<EmulatedFleet> {
+    const random = createSeededRandom(seed);
+    const regions = Math.min(3, domains);
+    const fleet = createEmulatedFleet({ hosts, domains, regions, freshnessMs, random });
+    fleet.platform.accept(firstVersion);
+    await fleet.runUntil(settledMs);
+    assert.ok(fleet.hosts().every(host => host.isReady() && versionOf(host) === 1));
+    return fleet;
+}
+
+async function silencePlatform(fleet: EmulatedFleet, ms: number): Promise<void> {
+    fleet.cutPlatform(() => true);
+    await fleet.runUntil(fleet.queue.now() + ms);
+    fleet.cutPlatform(() => false);
+}
+
+/** Accepts the second version after a delay; resolves with the time at which it was accepted. */
+async function acceptAfter(fleet: EmulatedFleet, ms: number): Promise<number> {
+    await fleet.runUntil(fleet.queue.now() + ms);
+    fleet.platform.accept(secondVersion);
+    return fleet.queue.now();
+}
+
 Given(
     "an emulated fleet of {int} hosts in {int} domains with a freshness limit of {int} s",
     { timeout },
     async function (this: World, hosts: number, domains: number, seconds: number) {
-        const random = createSeededRandom(seed);
-        const regions = Math.min(3, domains);
-        this.fleet = createEmulatedFleet({ hosts, domains, regions, freshnessMs: seconds * 1_000, random });
+        this.fleet = await startFleet(hosts, domains, seconds * 1_000);
         this.turnedAway = new Set();
-        this.fleet.platform.accept(firstVersion);
-        await this.fleet.runUntil(settledMs);
-        assert.ok(this.fleet.hosts().every(host => host.isReady() && versionOf(host) === 1));
     },
 );
 
+Given(
+    "emulated fleets of {int} hosts in {int} domains with a freshness limit of {int} s",
+    function (this: World, hosts: number, domains: number, seconds: number) {
+        this.createFleet = () => startFleet(hosts, domains, seconds * 1_000);
+    },
+);
+
+When(
+    "the platform is silent for {float}, {float} and so on up to {float} s, and a version is accepted {float} s later",
+    { timeout },
+    async function (this: World, first: number, second: number, last: number, delay: number) {
+        const delayMs = delay * 1_000;
+        const stepMs = (second - first) * 1_000;
+        this.delays = [];
+        for (let outageMs = first * 1_000; outageMs <= last * 1_000; outageMs += stepMs) {
+            const fleet = await this.createFleet();
+            await silencePlatform(fleet, outageMs);
+            const acceptedAt = await acceptAfter(fleet, delayMs);
+            await runUntilHolds(fleet, acceptedAt + longestDelayMs, () =>
+                fleet.hosts().every(host => versionOf(host) === 2),
+            );
+            this.delays.push({ outageMs, delayMs: fleet.queue.now() - acceptedAt });
+        }
+    },
+);
+
+Then("every host of each fleet has it in force within {float} s", function (this: World, seconds: number) {
+    const late = this.delays.filter(({ delayMs }) => delayMs > seconds * 1_000);
+    assert.deepEqual(late, [], `${late.length} of ${this.delays.length} fleets`);
+});
+
 When(/^the platform turns away (.*)$/, function (this: World, name: string) {
     this.turnedAway = hostsInOrder(this.fleet, places[name] ?? 0);
     this.fleet.cutPlatform(({ host }) => this.turnedAway.has(host));
@@ -70,9 +125,7 @@
 
 When("the platform is silent for {float} s", { timeout }, async function (this: World, seconds: number) {
     this.firstReads = recordFirstReads(this.fleet);
-    this.fleet.cutPlatform(() => true);
-    await this.fleet.runUntil(this.fleet.queue.now() + seconds * 1_000);
-    this.fleet.cutPlatform(() => false);
+    await silencePlatform(this.fleet, seconds * 1_000);
 });
 
 When(/^the readers are killed (noticeably|silently)$/, function (this: World, how: string) {
@@ -81,9 +134,7 @@
 });
 
 When("a version is accepted {float} s later", { timeout }, async function (this: World, seconds: number) {
-    await this.fleet.runUntil(this.fleet.queue.now() + seconds * 1_000);
-    this.fleet.platform.accept(secondVersion);
-    this.acceptedAt = this.fleet.queue.now();
+    this.acceptedAt = await acceptAfter(this.fleet, seconds * 1_000);
 });
 
 Then(
--- a/packages/daemon/src/board.ts
+++ b/packages/daemon/src/board.ts
@@ -74,6 +74,8 @@
 export interface HeadDuty {
     /** Whether this host reads the head row. */
     readonly isReading: boolean;
+    /** Time of the last answered read of a host of the failure domain, or of the start, in milliseconds. */
+    readonly answeredAt: number;
 }
 
 /** A row of the platform's table service; both fields are `undefined` if it does not exist. */
@@ -195,6 +197,7 @@
     backendServerEvents: Feed<Event>;
     departureRowEvents: Feed<Event>;
     headDutyEvents: Feed<Event>;
+    headReadingEvents: Feed<Event>;
     operatorEvents: Feed<Event>;
     traceEvents: Feed<Event>;
     daemonEvents: Feed<Event>;
@@ -227,7 +230,7 @@
                 regionRelay: false,
                 neighbours: [],
             },
-            headDuty: { isReading: false },
+            headDuty: { isReading: false, answeredAt: now },
             domainAddresses: undefined,
             platformState: {
                 head: undefined,
@@ -277,6 +280,7 @@
             backendServerEvents: feedCapacity,
             departureRowEvents: feedCapacity,
             headDutyEvents: feedCapacity,
+            headReadingEvents: feedCapacity,
             operatorEvents: feedCapacity,
             traceEvents: feedCapacity,
             daemonEvents: feedCapacity,
--- a/packages/daemon/src/controllers/headDuty.ts
+++ b/packages/daemon/src/controllers/headDuty.ts
@@ -25,6 +25,7 @@
     let hasLostReader = false;
     let knownReaders: readonly string[] = [];
     let reportedReadAt: number | undefined;
+    let { answeredAt } = board.read("headDuty");
 
     function decide(): void {
         const { now } = board.read("clock");
@@ -45,8 +46,11 @@
             freshnessMs: platform.freshnessMs,
             spread,
         });
-        if (isReading !== board.read("headDuty").isReading) {
-            duty.write({ isReading });
+        const before = board.read("headDuty");
+        if (isReading !== before.isReading || answeredAt !== before.answeredAt) {
+            duty.write({ isReading, answeredAt });
+        }
+        if (isReading !== before.isReading) {
             const fields = { place: readers.indexOf(self), silentMs: now - lastReportAt() };
             const name = isReading ? "platform.headReadingStarted" : "platform.headReadingStopped";
             events.append({ name, level: EventLevel.Info, fields });
@@ -60,6 +64,7 @@
     function handleMessage({ from, receivedAt, message }: IncomingMessage): void {
         if (message.kind === MessageKind.HeadRead) {
             reportedAt.set(from, receivedAt);
+            answeredAt = Math.max(answeredAt, receivedAt);
             hasLostReader = false;
         }
     }
@@ -84,6 +89,7 @@
             return;
         }
         reportedReadAt = headReadAt;
+        answeredAt = Math.max(answeredAt, headReadAt);
         for (const [host, link] of board.read("peerLinks")) {
             if (link.failureDomain === failureDomain) {
                 outbox.append({ to: { host }, message: { kind: MessageKind.HeadRead } });
--- a/packages/daemon/src/controllers/headReading.ts
+++ b/packages/daemon/src/controllers/headReading.ts
@@ -1,6 +1,9 @@
 import {
+    EventLevel,
     headKey,
+    isDomainServed,
     MessageKind,
+    nextHeadTurnAt,
     PlatformAnswer,
     PlatformOperation,
     type IncomingMessage,
@@ -14,7 +17,8 @@
 const headReadPeriodMs = 1_000;
 /**
  * Longest delay between two reads while there is no head row and this host is not the head reader, or while the platform
- * does not serve it, in milliseconds. The head reader retries within half of the freshness limit.
+ * does not serve it, in milliseconds. The head reader retries within half of the freshness limit, and the hosts in the order
+ * of a failure domain that the platform does not serve take turns.
  */
 const maxRetryDelayMs = 5_000;
 /**
@@ -27,13 +31,27 @@
 /** Prefix of the request ids of head reads; a sequence number follows. */
 const readIdPrefix = "head-";
 
+export interface HeadReadingOptions {
+    /**
+     * Uniform in [0, 1).
+     * @default Math.random
+     */
+    readonly random?: () => number;
+}
+
 /** Reads the head row while this host has the duty to, one request at a time. */
-export function createHeadReading(board: Board): Closeable {
+export function createHeadReading(
+    board: Board,
+    { random = Math.random }: HeadReadingOptions = {},
+): Closeable {
     const reads = board.claimFeed("headReads");
+    const events = board.claimFeed("headReadingEvents");
+    const { host: self } = board.read("settings");
     const { watchMs, freshnessMs } = board.read("settings").platform;
     // A platform that supports long polling answers when the row changes, so the next read follows immediately.
     const servedPeriodMs = watchMs > 0 ? 0 : headReadPeriodMs;
     let nextReadAt = 0;
+    let lastReadAt = 0;
     let sequence = 0;
     /** Consecutive reads that the platform did not serve. */
     let failures = 0;
@@ -49,15 +67,20 @@
         const { head, headTag } = board.read("platformState");
         const { isReading: isOnDuty } = board.read("headDuty");
         // An answer from before a time without the duty does not show that the platform still serves this host.
-        isServed &&= hasDuty || !isOnDuty;
+        if (isOnDuty && !hasDuty) {
+            isServed = false;
+            failures = 0;
+            nextReadAt = isReading ? nextReadAt : now;
+        }
         hasDuty = isOnDuty;
         // Every host reads until it has seen a head row: one that started before the first version was accepted would
         // otherwise not learn that its own version is current.
-        const isDue = now >= nextReadAt && (isOnDuty || head === undefined);
+        const isDue = now >= (turnAt() ?? nextReadAt) && (isOnDuty || head === undefined);
         if (!isDue) {
             return;
         }
         nextReadAt = now + replyDeadlineMs + watchMs;
+        lastReadAt = now;
         isReading = true;
         sequence += 1;
         const waitMs = isServed ? watchMs : Math.min(watchMs, probeWatchMs);
@@ -66,6 +89,19 @@
         reads.append({ id: `${readIdPrefix}${sequence}`, request });
     }
 
+    /** Time of the next turn of this host, if it and its failure domain are not served. */
+    function turnAt(): number | undefined {
+        const { headReaders } = board.read("topology");
+        const { isReading: isOnDuty, answeredAt } = board.read("headDuty");
+        const { now } = board.read("clock");
+        const place = headReaders.indexOf(self);
+        const takesTurns = isOnDuty && !isReading && failures > 0 && place >= 0;
+        const hasHead = board.read("platformState").head !== undefined;
+        return takesTurns && hasHead && !isDomainServed(answeredAt, { now, freshnessMs })
+            ? nextHeadTurnAt({ place, places: headReaders.length, answeredAt, lastReadAt, freshnessMs })
+            : undefined;
+    }
+
     function handleReply({ id, result }: PlatformReply): void {
         if (id !== `${readIdPrefix}${sequence}`) {
             return;
@@ -75,7 +111,17 @@
         isServed = answer !== PlatformAnswer.Lost && answer !== PlatformAnswer.Refused;
         failures = isServed ? 0 : failures + 1;
         missing = answer === PlatformAnswer.Missing ? missing + 1 : 0;
-        nextReadAt = board.read("clock").now + delayAfterReply();
+        const { now } = board.read("clock");
+        nextReadAt = now + delayAfterReply();
+        if (!isServed) {
+            const fields = {
+                answer,
+                tookMs: now - lastReadAt,
+                failures,
+                nextMs: Math.max(0, Math.round((turnAt() ?? nextReadAt) - now)),
+            };
+            events.append({ name: "platform.headReadFailed", level: EventLevel.Info, fields });
+        }
     }
 
     function delayAfterReply(): number {
@@ -85,7 +131,7 @@
             const attempts = isUnserved ? failures : missing + 1;
             const isReader = isUnserved && board.read("topology").headReader;
             const maxMs = isReader ? Math.min(maxRetryDelayMs, freshnessMs / 2) : maxRetryDelayMs;
-            return backoffMs(attempts, { initialMs: headReadPeriodMs, maxMs });
+            return backoffMs(attempts, { initialMs: headReadPeriodMs, maxMs, random });
         }
         return missing > 0 ? headReadPeriodMs : servedPeriodMs;
     }
--- a/packages/daemon/src/eventFeeds.ts
+++ b/packages/daemon/src/eventFeeds.ts
@@ -12,6 +12,7 @@
     "backendServerEvents",
     "departureRowEvents",
     "headDutyEvents",
+    "headReadingEvents",
     "operatorEvents",
     "traceEvents",
     "daemonEvents",
--- a/packages/standin/src/fleet/emulatedHost.ts
+++ b/packages/standin/src/fleet/emulatedHost.ts
@@ -81,7 +81,7 @@
     );
     const parts: Closeable[] = [
         createHeadDuty(board, { random }),
-        createHeadReading(board),
+        createHeadReading(board, { random }),
         createConfigurationController(board),
         createReadiness(board),
         createBackendServers(board),
