fix(distribution): shift the turns of the failure domains against each other

Change: the turns of a domain are shifted by the hash of its name, by up to half of the freshness limit towards earlier.

Evidence: membership.feature "are spread as well" failed without the shift (1000 ms of 500).

--- a/packages/core/features/membership.feature
+++ b/packages/core/features/membership.feature
@@ -114,3 +114,10 @@
             | 1      | 1500 |
             | 2      | 1000 |
             | 3      | 1000 |
+
+    # Guards against failure domains that read in step because the last answer of all of them was the same change.
+    @in-force-everywhere @store-down
+    Scenario: The turns of different failure domains are spread as well
+        Given an order of 3 hosts that the platform answered 1000 ms ago, with a freshness limit of 2000 ms
+        When the hosts of 6 failure domains read at their turns for 20 s
+        Then the reads of all of them are at most 500 ms apart
--- a/packages/core/src/membership/headDuty.ts
+++ b/packages/core/src/membership/headDuty.ts
@@ -1,3 +1,5 @@
+import { hash32 } from "./hash.js";
+
 /** Decides which host of a failure domain reads the head row, and when those read that the platform does not serve. */
 
 /** Share of the freshness limit after which the first backup takes over. */
@@ -82,27 +84,25 @@
     /** Time of the last read of this host. */
     readonly lastReadAt: number;
     readonly freshnessMs: number;
+    readonly failureDomain: string;
 }
 
 /**
  * Time of the next read of a host in a failure domain that the platform does not serve. The hosts in the order take turns,
- * so that a read comes at short and even intervals although each of them reads rarely.
+ * so that a read comes at short and even intervals although each of them reads rarely. The turns of different failure
+ * domains are shifted against each other, because a change is the last answer to all of them.
  *
  * @returns milliseconds since the epoch
  * @example
  * ```ts
  * // Of two hosts with a freshness limit of 2 s, the first one reads 1.8 s, 3.8 s and 5.8 s after the last answer.
- * nextHeadTurnAt({ place: 0, places: 2, answeredAt: 0, lastReadAt: 1_800, freshnessMs: 2_000 }); // 3800
+ * nextHeadTurnAt({ place: 0, places: 2, answeredAt: 0, lastReadAt: 1_800, freshnessMs: 2_000, failureDomain: "a" }); // 3800
  * ```
  */
-export function nextHeadTurnAt({
-    place,
-    places,
-    answeredAt,
-    lastReadAt,
-    freshnessMs,
-}: HeadTurnFacts): number {
-    const firstAt = answeredAt + (firstTurnShare + place * turnShare) * freshnessMs;
+export function nextHeadTurnAt(facts: HeadTurnFacts): number {
+    const { place, places, answeredAt, lastReadAt, freshnessMs, failureDomain } = facts;
+    const shift = (hash32(failureDomain) / 2 ** 32) * turnShare;
+    const firstAt = answeredAt + (firstTurnShare + place * turnShare - shift) * freshnessMs;
     const periodMs = Math.max(places * turnShare, minTurnPeriodShare) * freshnessMs;
     const turnsSoFar = Math.floor((lastReadAt - firstAt) / periodMs) + 1;
     return firstAt + Math.max(0, turnsSoFar) * periodMs;
--- a/packages/daemon/src/controllers/headReading.ts
+++ b/packages/daemon/src/controllers/headReading.ts
@@ -46,7 +46,6 @@
 ): Closeable {
     const reads = board.claimFeed("headReads");
     const events = board.claimFeed("headReadingEvents");
-    const { host: self } = board.read("settings");
     const { watchMs, freshnessMs } = board.read("settings").platform;
     // A platform that supports long polling answers when the row changes, so the next read follows immediately.
     const servedPeriodMs = watchMs > 0 ? 0 : headReadPeriodMs;
@@ -89,18 +88,7 @@
         reads.append({ id: `${readIdPrefix}${sequence}`, request });
     }
 
-    /** Time of the next turn of this host, if it and its failure domain are not served. */
-    function turnAt(): number | undefined {
-        const { headReaders } = board.read("topology");
-        const { isReading: isOnDuty, answeredAt } = board.read("headDuty");
-        const { now } = board.read("clock");
-        const place = headReaders.indexOf(self);
-        const takesTurns = isOnDuty && !isReading && failures > 0 && place >= 0;
-        const hasHead = board.read("platformState").head !== undefined;
-        return takesTurns && hasHead && !isDomainServed(answeredAt, { now, freshnessMs })
-            ? nextHeadTurnAt({ place, places: headReaders.length, answeredAt, lastReadAt, freshnessMs })
-            : undefined;
-    }
+    const turnAt = () => (failures > 0 && !isReading ? nextTurnAt(board, lastReadAt) : undefined);
 
     function handleReply({ id, result }: PlatformReply): void {
         if (id !== `${readIdPrefix}${sequence}`) {
@@ -152,3 +140,19 @@
     ];
     return { close: () => subscriptions.forEach(subscription => subscription.close()) };
 }
+
+/** Time of the next turn of a host that is not served; `undefined` if it does not take turns. */
+function nextTurnAt(board: Board, lastReadAt: number): number | undefined {
+    const { host, failureDomain, platform } = board.read("settings");
+    const { headReaders } = board.read("topology");
+    const { isReading: isOnDuty, answeredAt } = board.read("headDuty");
+    const { now } = board.read("clock");
+    const { freshnessMs } = platform;
+    const place = headReaders.indexOf(host);
+    const hasHead = board.read("platformState").head !== undefined;
+    const takesTurns = isOnDuty && hasHead && place >= 0 && !isDomainServed(answeredAt, { now, freshnessMs });
+    const places = headReaders.length;
+    return takesTurns
+        ? nextHeadTurnAt({ place, places, answeredAt, lastReadAt, freshnessMs, failureDomain })
+        : undefined;
+}
