--- a/packages/core/src/membership/headDuty.ts
+++ b/packages/core/src/membership/headDuty.ts
@@ -1,12 +1,11 @@
-import { hash32 } from "./hash.js";
-
 /** Decides which host of a failure domain reads the head row, and when those read that the platform does not serve. */
+import { hash32 } from "./hash.js";
 
 /** Share of the freshness limit after which the first backup takes over. */
 const takeoverShare = 0.7;
 /** Share of the freshness limit by which each further backup waits longer. */
 const stepShare = 0.1;
-/** Share of the freshness limit after which the first turn of an unserved failure domain comes. */
+/** Share of the freshness limit after which the first turn of an unserved failure domain comes at the latest. */
 const firstTurnShare = 0.9;
 /** Share of the freshness limit between two turns of a failure domain. */
 const turnShare = 0.5;
@@ -90,13 +89,15 @@
 /**
  * Time of the next read of a host in a failure domain that the platform does not serve. The hosts in the order take turns,
  * so that a read comes at short and even intervals although each of them reads rarely. The turns of different failure
- * domains are shifted against each other, because a change is the last answer to all of them.
+ * domains are shifted towards earlier by up to half of the freshness limit, because a change is the last answer to all of
+ * them.
  *
  * @returns milliseconds since the epoch
  * @example
  * ```ts
- * // Of two hosts with a freshness limit of 2 s, the first one reads 1.8 s, 3.8 s and 5.8 s after the last answer.
- * nextHeadTurnAt({ place: 0, places: 2, answeredAt: 0, lastReadAt: 1_800, freshnessMs: 2_000, failureDomain: "a" }); // 3800
+ * // Of two hosts with a freshness limit of 2 s, the first one reads 0.9 s, 2.9 s and 4.9 s after the last answer.
+ * const facts = { place: 0, places: 2, answeredAt: 0, freshnessMs: 2_000, failureDomain: "zone-a" };
+ * nextHeadTurnAt({ ...facts, lastReadAt: 1_500 }); // 2895.3
  * ```
  */
 export function nextHeadTurnAt(facts: HeadTurnFacts): number {
