fix(platform): make new connections after a request without a response

What callers saw: after an outage of the store, the old configuration stayed in force a second or more longer than the wait for the next read.

Cause: after an abort the client library opens another connection for the aborted request, and keeps it. Opened during an outage that accepts and never answers, it is dead, and the first read after the end was lost on it.

Change: the pool is replaced after a request without a response; requests in flight go on. The same in the HTTP transport and the export of traces.

Evidence: store.feature "first read after an outage is answered" failed before.

--- a/packages/daemon/src/adapters/platform/httpTransport.ts
+++ b/packages/daemon/src/adapters/platform/httpTransport.ts
@@ -8,6 +8,7 @@
 import type { Board } from "../../board.js";
 import { connectTimeoutMs } from "../calls/constants.js";
 import { maxMessageBytes } from "../peers/constants.js";
+import { createRenewablePool, type RenewablePool } from "../renewablePool.js";
 import { untilAborted } from "../untilAborted.js";
 import { maxRequestsInFlight, type PlatformTransport } from "./platformClient.js";
 
@@ -20,17 +21,22 @@
 
 /** Creates a transport for the project's own HTTP API of the table service and object store. */
 export function createHttpTransport(board: Board): PlatformTransport {
-    const pool = new Pool(board.read("settings").platform.url, {
-        connections: maxRequestsInFlight,
-        // The kernel repeats a lost opening packet after a second; a new connection then gets through sooner.
-        connect: { timeout: connectTimeoutMs },
-        maxResponseSize: maxResponseBytes,
-    });
-    return { send: request => sendRequest(pool, request), close: () => pool.destroy() };
+    const { url } = board.read("settings").platform;
+    const connections = createRenewablePool(
+        () =>
+            new Pool(url, {
+                connections: maxRequestsInFlight,
+                // The kernel repeats a lost opening packet after a second; a new connection then gets through sooner.
+                connect: { timeout: connectTimeoutMs },
+                maxResponseSize: maxResponseBytes,
+            }),
+    );
+    return { send: request => sendRequest(connections, request), close: () => connections.destroy() };
 }
 
-async function sendRequest(pool: Dispatcher, request: PlatformRequest): Promise<PlatformResult> {
+async function sendRequest(connections: RenewablePool, request: PlatformRequest): Promise<PlatformResult> {
     const codec = operationCodecs[request.operation] as OperationCodec<PlatformRequest>;
+    const pool = connections.current();
     try {
         const { method, path, headers, body, timeoutMs } = codec.encode(request);
         const signal = AbortSignal.timeout(timeoutMs);
@@ -50,6 +56,7 @@
         };
         return await untilAborted(signal, readResult());
     } catch (error) {
+        connections.renew(pool);
         return {
             answer: PlatformAnswer.Lost,
             message: error instanceof Error ? error.message : String(error),
--- a/packages/daemon/src/adapters/traces.ts
+++ b/packages/daemon/src/adapters/traces.ts
@@ -3,6 +3,7 @@
 import type { Board } from "../board.js";
 import type { Closeable } from "../closeable.js";
 import { TraceExporter } from "../settings/settings.js";
+import { createRenewablePool } from "./renewablePool.js";
 import { untilAborted } from "./untilAborted.js";
 
 /** Limit of the spans waiting for export. Further spans are dropped and counted. */
@@ -54,7 +55,7 @@
     });
     const collector = new URL(traces.url as string);
     // One connection is enough because batches are sent one after another.
-    const pool = new Pool(collector.origin, { connections: 1 });
+    const connections = createRenewablePool(() => new Pool(collector.origin, { connections: 1 }));
     const pendingSpans: Span[] = [];
     let droppedCount = 0;
     let exportInProgress: Promise<void> | undefined;
@@ -70,6 +71,7 @@
     async function exportBatch(): Promise<void> {
         const spans = pendingSpans.splice(0, maxBatchSpans);
         const body = JSON.stringify(encodeBatch(resource, spans));
+        const pool = connections.current();
         const signal = AbortSignal.timeout(exportTimeoutMs);
         const request = async () => {
             const response = await pool.request({
@@ -87,6 +89,7 @@
         try {
             await untilAborted(signal, request());
         } catch (error) {
+            connections.renew(pool);
             droppedCount += spans.length;
             appendEvent("trace.exportFailed", EventLevel.Warn, { error: String(error) });
         }
@@ -111,7 +114,7 @@
             if (pendingSpans.length > 0) {
                 await exportBatch();
             }
-            await pool.destroy();
+            await connections.destroy();
         },
     };
 }
