test(links): send bytes that cannot be compressed to the peer that does not read

Cause: its 40 MiB are zeros, of which 40 KB remain after compression; a fast machine compresses them as they come, so that nothing is left unsent and the limit is not reached.

--- a/packages/daemon/features/steps/links.ts
+++ b/packages/daemon/features/steps/links.ts
@@ -14,6 +14,7 @@
 } from "@tanagertray/daemon/adapters/peers/handshake";
 import { unpack } from "msgpackr";
 import assert from "node:assert/strict";
+import { randomBytes } from "node:crypto";
 import { once } from "node:events";
 import { setTimeout as sleep } from "node:timers/promises";
 import { WebSocket } from "ws";
@@ -261,7 +262,8 @@
     async function (this: World, count: number) {
         this.rawSocket?.pause();
         const outbox = daemons(this)[0]?.board.claimFeed("configurationOutbox");
-        const parts = [{ hash: "abc", bytes: new Uint8Array(mebibyte) }];
+        // Compressible bytes would fit into the buffers of the kernel.
+        const parts = [{ hash: "abc", bytes: randomBytes(mebibyte) }];
         for (let i = 0; i < count; i += 1) {
             const message = { kind: MessageKind.Parts, parts, missing: [] };
             outbox?.append({ to: { allBut: [] }, message });
