feat(calls): log for how long the caller of a call had not been seen when it was sent

The logs could not tell a call that was started on an old sign of its caller from one whose close was read late: unreadMs is the time since the last poll, also where the connection is not being read. call.callerLeft now has sentMs and callerSeenMs, and the lines of attempts have callerSeenMs.

--- a/packages/daemon/src/adapters/calls/handleHop.ts
+++ b/packages/daemon/src/adapters/calls/handleHop.ts
@@ -81,7 +81,12 @@
     const readAt = context.now();
     const stages: StageTimes = { arrivedAt, readAt, startedAt: readAt };
     const { deadline, startBy } = timeLimitsOf(context, call, arrivedAt);
-    const cancelScope = openCancellation(context, response, { deadline, place: CallPlace.Hop, callId });
+    const cancelScope = openCancellation(context, response, {
+        deadline,
+        place: CallPlace.Hop,
+        callId,
+        stages,
+    });
     const span = context.telemetry.startSpan("hop", head.daemonHeaders.get("traceparent"));
     const callerCheck = cancelIfDisconnected(context, cancelScope.cancellation, { request, arrivedAt });
     if (callerCheck !== undefined) {
@@ -99,13 +104,7 @@
     // The entry daemon sends a body above this size only after it has received the 102 that reports the admission.
     const isBodyHeldBack = hasBody && (declaredBytes ?? Infinity) > eagerBodyBytes;
     let isAdmitted = false;
-    let progressTimer: Timer | undefined;
-    const scheduleProgress = () => {
-        progressTimer = context.timers.after(progressIntervalMs, () => {
-            response.writeProcessing();
-            scheduleProgress();
-        });
-    };
+    const progress = createProgress(context, response);
     const run = cancelScope.cancellation.cancelled ? refuseAbandoned : runLocally;
     const outcome = await run(context, {
         matched,
@@ -131,12 +130,11 @@
             if (isBodyHeldBack) {
                 response.writeProcessing();
             }
-            // Repeated 102 responses keep the entry daemon from giving up the hop while the backend server works.
-            scheduleProgress();
+            progress.start();
             body.commit();
         },
         onHead(status, raw) {
-            progressTimer?.cancel();
+            progress.close();
             const load = String(Math.round(context.admissions.load(matched.service) * 1_000) / 1_000);
             const closesConnection = context.board.read("shutdown").requested && isRequestComplete(response);
             const connectionHeader = closesConnection ? ["connection", "close"] : [];
@@ -149,7 +147,7 @@
             return createSink(response);
         },
     });
-    progressTimer?.cancel();
+    progress.close();
     body.close();
     cancelScope.close();
     requestBody.drop();
@@ -172,6 +170,18 @@
     context.telemetry.event("call.hop", "debug", { service: matched.service.name, reason });
 }
 
+/** Repeated 102 responses keep the entry daemon from giving up the hop while the backend server works. */
+function createProgress({ timers }: CallContext, response: ServerResponse): { start(): void; close(): void } {
+    let timer: Timer | undefined;
+    const start = () => {
+        timer = timers.after(progressIntervalMs, () => {
+            response.writeProcessing();
+            start();
+        });
+    };
+    return { start, close: () => timer?.cancel() };
+}
+
 /** Returns a function that tells the entry daemon of a silent backend server, if it asked for that. */
 function silenceReporter(
     daemonHeaders: ReadonlyMap<string, string>,
--- a/packages/daemon/src/adapters/calls/incoming.ts
+++ b/packages/daemon/src/adapters/calls/incoming.ts
@@ -22,6 +22,7 @@
 import { readRequestHead, type RequestHead } from "./headers.js";
 import { decodeRoute, encodeRoute, routeHeader } from "./hopRoute.js";
 import { matchNative, nativeDialect } from "./nativeDialect.js";
+import type { StageTimes } from "./stageTimes.js";
 
 /** A request whose head is valid and matches an operation of the configuration. */
 export interface IncomingCall {
@@ -253,13 +254,15 @@
     readonly deadline: number;
     readonly place: CallPlace;
     readonly callId: string;
+    /** Stage times of the call at this daemon; a call that was sent has `sentAt`. */
+    readonly stages?: StageTimes;
 }
 
 /** Cancels a call when its caller disconnects, its deadline passes or the shutdown limit is reached. */
 export function openCancellation(
     context: CallContext,
     response: ServerResponse,
-    { deadline, place, callId }: CancelledCall,
+    { deadline, place, callId, stages }: CancelledCall,
 ): { readonly cancellation: Cancellation; close(): void } {
     const cancellation = createCancellation();
     const timer = context.timers.after(Math.max(0, deadline - context.now()), () =>
@@ -277,6 +280,8 @@
             place,
             ageMs: now - readAt,
             unreadMs: Math.round(now - context.arrivals.lastPoll()),
+            sentMs: stages?.sentAt === undefined ? undefined : now - stages.sentAt,
+            callerSeenMs: stages?.callerSeenMs,
         });
     });
     context.cancellations.add(cancellation);
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -152,7 +152,9 @@
             unsentRefusal = refusal(RefusalReason.Barred);
             return false;
         }
-        call.stages.sentAt = context.now();
+        const now = context.now();
+        call.stages.sentAt = now;
+        call.stages.callerSeenMs = now - (waitingCall.entry?.heardAt ?? context.arrivals.lastPoll());
         call.onAdmitted();
         silenceTimer = startSilenceTimer(context, call, slot);
         return true;
--- a/packages/daemon/src/adapters/calls/stageTimes.ts
+++ b/packages/daemon/src/adapters/calls/stageTimes.ts
@@ -10,6 +10,8 @@
     bodyMs?: number;
     queuedMs?: number;
     sentAt?: number;
+    /** When the call was sent: time since the caller was last known to be connected. */
+    callerSeenMs?: number;
     answeredAt?: number;
     /** Stages at the other daemon of a hop, as reported in its response. */
     remoteStages?: HopStages | undefined;
@@ -73,12 +75,16 @@
         : { [stage]: Math.max(0, answeredAt - sentAt - remoteMs) };
 }
 
-/** Log fields: how late the call was read, how long its body and its slot took, and when it was sent. */
-export function stageLogFields({ arrivedAt, readAt, bodyMs, queuedMs, sentAt }: StageTimes) {
+/**
+ * Log fields: how late the call was read, how long its body and its slot took, when it was sent, and for how long the
+ * caller had not been seen then.
+ */
+export function stageLogFields({ arrivedAt, readAt, bodyMs, queuedMs, sentAt, callerSeenMs }: StageTimes) {
     return {
         readAfterMs: Math.round(readAt - arrivedAt),
         bodyMs,
         queuedMs,
         sentAfterMs: sentAt === undefined ? undefined : sentAt - readAt,
+        callerSeenMs,
     };
 }
