fix(calls): count a sign of a caller from when it happened, not from when it was read

Callers saw their uploads sent to a backend server 508 ms after they had left. A host starts a call of another entry daemon on a recent sign of its caller, but took the time of reading for the time of the sign: a message may have waited in the socket buffer of a busy host, and the end of a body says nothing about its sender, because the entry daemon reads no further while it holds a body back and finds the close only afterwards.

A sign now counts from a time that cannot be later than the truth: the earliest arrival of the call less the age of the sender's last poll, the time at which a body was asked for (its end is sent after one more poll), or the time at which a probe was sent. A free slot is no exception, and the age is checked again when the call is written.

--- a/features/hosts.feature
+++ b/features/hosts.feature
@@ -177,7 +177,7 @@
             | a2    |
 
     # Guards against a call that is started on a word of its entry daemon that waited to be read, and is older than it seems.
-    @not-run-is-true @known-red
+    @not-run-is-true
     Scenario Outline: A call that was read late is not forwarded when its stopped entry daemon has not read that the client left
         Given daemon processes "a1,a2" that can be made busy for <turn> ms with turns of <turn> ms, and a backend server with 1 slot at "a2"
         When "a2" is busy while 5 clients call "a1", which is stopped before they leave, and the only slot is released after <release> ms
@@ -192,7 +192,7 @@
 
     # Guards against an upload whose entry daemon reads nothing from the client while the body is held back, and so does
     # not notice that the client left.
-    @not-run-is-true @known-red
+    @not-run-is-true
     Scenario: An upload that was held back is not forwarded when its client has left
         Given daemon processes "a1,a2" that can be made busy for 700 ms with turns of 700 ms, and a backend server at "a2" that takes uploads of 60000 bytes
         When "a2" is busy while 10 clients of "a1" upload 60000 bytes and leave after 100 ms
--- a/packages/core/src/admission/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -5,7 +5,7 @@
 import type { CapacityReport } from "../routing/observation.js";
 import { BackendServerState, type BackendServer } from "./backendServer.js";
 import type { ConcurrencyLimit } from "./concurrencyLimit.js";
-import type { EntryContact } from "./entryContact.js";
+import { isCallerSilent, type CallerContact } from "./entryContact.js";
 import type { ServiceTimes } from "./serviceTimes.js";
 
 /** Maximum number of calls of one service that may wait on a host. */
@@ -61,10 +61,10 @@
      */
     readonly operation?: string;
     /**
-     * The other daemon that the call came from.
-     * @default the call came from a caller of this host
+     * What is known of the caller. A call whose caller is silent waits, although a slot is free.
+     * @default the caller is known to be connected
      */
-    readonly entry?: EntryContact | undefined;
+    readonly caller?: CallerContact | undefined;
 }
 
 export interface PartnerUsage {
@@ -151,7 +151,7 @@
     return estimateSlot(state, call, capacities, { now, bodyMs: 0 }).caseOf<AdmissionDecision>({
         Left: refused => ({ kind: AdmissionKind.Refused, refusal: refused }),
         Right({ server, waitMs }) {
-            if (server === undefined) {
+            if (server === undefined || (call.caller !== undefined && isCallerSilent(call.caller, { now }))) {
                 return enqueue(state, call, waitMs);
             }
             occupySlot(state, call.partner, server);
--- a/packages/core/src/admission/entryContact.ts
+++ b/packages/core/src/admission/entryContact.ts
@@ -1,24 +1,66 @@
 /**
- * What a host knows of the entry daemon of a call that waits there. An entry daemon that is too busy to read anything does
- * not know that a caller has left, and a call of that caller would run for nobody.
+ * What a host knows of the daemon at which callers entered. An entry daemon that is too busy to read anything does not know
+ * that a caller has left, and a call of that caller would run for nobody.
  */
 export interface EntryContact {
-    /** Time at which the latest message of the entry daemon was read, in milliseconds since the epoch. */
-    heardAt: number;
+    /**
+     * Latest time by which the entry daemon is known to have noticed the callers that had left, in milliseconds since the
+     * epoch by the clock of this host.
+     */
+    readonly confirmedAt: number;
 }
 
-/** Silence of an entry daemon after which its waiting calls are not started, in milliseconds. */
-export const maxEntrySilenceMs = 300;
+/** What a host knows of the caller of one call. */
+export interface CallerContact {
+    /** Shared by all calls that entered at the same daemon. */
+    readonly entry: EntryContact;
+    /** Latest time at which the call itself shows that its caller was connected, in milliseconds since the epoch. */
+    readonly seenAt: number;
+    /**
+     * Time from which on the entry daemon reads from the caller's connection without a pause, in milliseconds since the
+     * epoch. It does not notice a close that stands behind a part of the body that it has not read.
+     */
+    readonly watchedSince: number;
+}
+
+/**
+ * Time without a sign of the caller after which a waiting call gets no slot, in milliseconds. What is left of
+ * `maxSilenceAtSendMs` is for its connection and the rest of the turn of the event loop.
+ */
+export const maxCallerSilenceMs = 300;
+/**
+ * Time without a sign of the caller after which a call is not sent, in milliseconds. A backend server should not be reached
+ * half a second after the caller left; the rest is for the way to the backend server and between the hosts.
+ */
+export const maxSilenceAtSendMs = 450;
+
+/**
+ * Latest time at which the caller is known to have been connected.
+ *
+ * @returns milliseconds since the epoch
+ * @example
+ * ```ts
+ * callerSeenAt({ entry: { confirmedAt: 1_200 }, seenAt: 1_000, watchedSince: 900 }); // 1200
+ * callerSeenAt({ entry: { confirmedAt: 1_200 }, seenAt: 1_000, watchedSince: 1_300 }); // 1000
+ * ```
+ */
+export function callerSeenAt({ entry, seenAt, watchedSince }: CallerContact): number {
+    return entry.confirmedAt >= watchedSince ? Math.max(entry.confirmedAt, seenAt) : seenAt;
+}
 
 /**
- * Whether the entry daemon has been silent for so long that its caller may have left unnoticed.
+ * Whether there has been no sign of the caller for so long that it may have left unnoticed.
  *
  * @example
  * ```ts
- * isEntrySilent({ heardAt: 1_000 }, 1_200); // false
- * isEntrySilent({ heardAt: 1_000 }, 1_400); // true
+ * const caller = { entry: { confirmedAt: 1_000 }, seenAt: 1_000, watchedSince: 0 };
+ * isCallerSilent(caller, { now: 1_300 }); // false
+ * isCallerSilent(caller, { now: 1_301 }); // true
  * ```
  */
-export function isEntrySilent({ heardAt }: EntryContact, now: number): boolean {
-    return now - heardAt > maxEntrySilenceMs;
+export function isCallerSilent(
+    caller: CallerContact,
+    { now, limitMs = maxCallerSilenceMs }: { readonly now: number; readonly limitMs?: number },
+): boolean {
+    return now - callerSeenAt(caller) > limitMs;
 }
--- a/packages/daemon/src/adapters/calls/admissions.ts
+++ b/packages/daemon/src/adapters/calls/admissions.ts
@@ -3,7 +3,7 @@
     admitNext,
     availableCapacities,
     createServiceAdmission,
-    isEntrySilent,
+    isCallerSilent,
     limitCapacities,
     loadOf,
     recordResponseTime,
@@ -78,7 +78,7 @@
 
 export interface AdmissionsOptions {
     readonly now: () => number;
-    /** Asks a silent entry daemon whose call is the next to start. */
+    /** Asks the entry daemon of a silent caller whose call is the next to start. */
     readonly probe: EntryContacts["probe"];
     /**
      * Number of calls whose bodies are still arriving or queued, which a capacity report includes.
@@ -205,10 +205,10 @@
         return queued.forEach(call => settle(context, call, Left(refusal(RefusalReason.NoBackendServer))));
     }
     const silentEntries = new Set<EntryContact>();
-    const mayStart = ({ entry }: WaitingCall) => {
-        const isSilent = entry !== undefined && isEntrySilent(entry, context.now());
+    const mayStart = ({ caller }: WaitingCall) => {
+        const isSilent = caller !== undefined && isCallerSilent(caller, { now: context.now() });
         if (isSilent) {
-            silentEntries.add(entry);
+            silentEntries.add(caller.entry);
         }
         return !isSilent;
     };
@@ -244,7 +244,7 @@
                 if (dropped !== undefined) {
                     settle(context, dropped, Left(refusal(RefusalReason.OverShare)));
                 }
-                // Slots are free while all calls ahead come from silent entry daemons.
+                // Slots are free while all callers ahead are silent, or this one is.
                 assignFreeSlots(context, service.name);
             },
         } satisfies Record<AdmissionKind, (decision: never) => void>;
--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -32,7 +32,13 @@
 import { currentVersion } from "../../controllers/advertisement.js";
 import { routeHeader } from "./hopRoute.js";
 import { attemptHeader, signHop } from "./hopToken.js";
-import { answeredElsewhere, callerDisconnected, startWithinHeader, type IncomingCall } from "./incoming.js";
+import {
+    answeredElsewhere,
+    callerDisconnected,
+    encodePollAge,
+    startWithinHeader,
+    type IncomingCall,
+} from "./incoming.js";
 import { runLocally } from "./localCall.js";
 import { DispositionKind, type Disposition, type ResponseSink } from "./disposition.js";
 import { logRejection } from "./rejections.js";
@@ -183,7 +189,6 @@
     let refused: { readonly reason: string; readonly retryAfterMs: number } | undefined;
 
     function onHead(status: number, raw: string[]): Disposition {
-        context.entryContacts.noteMessage(selection.target.host);
         const load = Number(headerValue(raw, "tanagertray-load") ?? Number.NaN);
         if (load >= 0) {
             recordLoad(observation, load, context.now());
@@ -213,6 +218,7 @@
         method: call.method,
         path: call.url,
         headers: hopHeaders(context, attempt),
+        lateHeaders: () => encodePollAge(context),
         body: body.payload,
         cancellation: attempt.cancellation,
         timers: context.timers,
--- a/packages/daemon/src/adapters/calls/createCalls.ts
+++ b/packages/daemon/src/adapters/calls/createCalls.ts
@@ -63,7 +63,8 @@
     const pools = createPools(now);
     const telemetry = createTelemetry(board, now);
     const timers = createTimers(board, now);
-    const entryContacts = createEntryContacts({ board, now, pools, telemetry, timers });
+    const arrivals = createArrivals(board, { now });
+    const entryContacts = createEntryContacts({ arrivals, board, now, pools, telemetry, timers });
     const context: CallContext = {
         board,
         now,
@@ -80,7 +81,7 @@
         observations: createObservations(board),
         telemetry,
         timers,
-        arrivals: createArrivals(board, { now }),
+        arrivals,
         dialect,
         retryBudgets: createRetryBudgets(board.read("settings").retries),
         redirectBudgets: createRetryBudgets(redirectLimits),
--- a/packages/daemon/src/adapters/calls/exchange.ts
+++ b/packages/daemon/src/adapters/calls/exchange.ts
@@ -36,6 +36,11 @@
     readonly method: string;
     readonly path: string;
     readonly headers: string[];
+    /**
+     * Returns further headers once the events of the turn have been read, just before the request is sent.
+     * @default none
+     */
+    readonly lateHeaders?: () => readonly string[];
     readonly body: AsyncIterable<Buffer> | Buffer | null;
     /** Ends the exchange early, for example because the caller disconnected or the deadline passed. */
     readonly cancellation: Cancellation;
@@ -143,11 +148,11 @@
 }
 
 function dispatchOptionsOf(state: Exchange): TrackedDispatchOptions {
-    const { method, path, headers, body } = state.options;
+    const { method, path, headers, lateHeaders, body } = state.options;
     return {
         method: method as Dispatcher.HttpMethod,
         path,
-        headers,
+        headers: lateHeaders === undefined ? headers : [...headers, ...lateHeaders()],
         body: body as never,
         headersTimeout: 0,
         bodyTimeout: 0,
--- a/packages/daemon/src/adapters/calls/handleEntry.ts
+++ b/packages/daemon/src/adapters/calls/handleEntry.ts
@@ -96,6 +96,7 @@
             declaredBytes: call.head.declaredBytes,
             maxBytes: operation.maxBodyBytes,
             repeatable: operation.repeatable,
+            nextPoll: context.arrivals.nextPoll,
         }),
         cancellation: cancelScope.cancellation,
         response,
--- a/packages/daemon/src/adapters/calls/handleHop.ts
+++ b/packages/daemon/src/adapters/calls/handleHop.ts
@@ -26,7 +26,7 @@
 import type { Timer } from "./timers.js";
 import { nativeDialect, notRunResponse } from "./nativeDialect.js";
 import { encodeHopStages, localDurations, stageLogFields, type StageTimes } from "./stageTimes.js";
-import { createRequestBody } from "./requestBody.js";
+import { createRequestBody, type RequestBody } from "./requestBody.js";
 import { createSink, isRequestComplete, resetConnection, respond } from "./responses.js";
 
 interface VerifiedHop {
@@ -81,25 +81,19 @@
     const readAt = context.now();
     const stages: StageTimes = { arrivedAt, readAt, startedAt: readAt };
     const { deadline, startBy } = timeLimitsOf(context, call, arrivedAt);
-    const cancelScope = openCancellation(context, response, {
-        deadline,
-        place: CallPlace.Hop,
-        callId,
-        stages,
-    });
+    const place = CallPlace.Hop;
+    const cancelScope = openCancellation(context, response, { deadline, place, callId, stages });
     const span = context.telemetry.startSpan("hop", head.daemonHeaders.get("traceparent"));
     const callerCheck = cancelIfDisconnected(context, cancelScope.cancellation, { request, arrivedAt });
     if (callerCheck !== undefined) {
         await callerCheck;
     }
-    const entryHost = head.daemonHeaders.get(entryHostHeader);
-    context.entryContacts.noteMessage(entryHost);
-    const maxBytes = matched.operation.maxBodyBytes;
+    const caller = context.entryContacts.noteCall({
+        host: head.daemonHeaders.get(entryHostHeader) ?? "",
+        seenAt: arrivedAt - (call.pollAgeMs ?? 0),
+    });
     const { hasBody, declaredBytes } = head;
-    const requestBody = createRequestBody(request, { hasBody, declaredBytes, maxBytes, repeatable: false });
-    if (hasBody) {
-        await requestBody.readBuffered();
-    }
+    const requestBody = await openRequestBody(context, call, request);
     const body = requestBody.open();
     // The entry daemon sends a body above this size only after it has received the 102 that reports the admission.
     const isBodyHeldBack = hasBody && (declaredBytes ?? Infinity) > eagerBodyBytes;
@@ -119,7 +113,7 @@
         body,
         cancellation: cancelScope.cancellation,
         stages,
-        entryHost,
+        caller,
         onSilence: silenceReporter(head.daemonHeaders, response),
         bodyFollowsAdmission: true,
         onAdmitted() {
@@ -170,6 +164,22 @@
     context.telemetry.event("call.hop", "debug", { service: matched.service.name, reason });
 }
 
+async function openRequestBody(
+    { arrivals }: CallContext,
+    { matched, head }: IncomingCall,
+    request: IncomingMessage,
+): Promise<RequestBody> {
+    const { hasBody, declaredBytes } = head;
+    const { maxBodyBytes: maxBytes } = matched.operation;
+    const { nextPoll } = arrivals;
+    const options = { hasBody, declaredBytes, maxBytes, repeatable: false, nextPoll };
+    const requestBody = createRequestBody(request, options);
+    if (hasBody) {
+        await requestBody.readBuffered();
+    }
+    return requestBody;
+}
+
 /** Repeated 102 responses keep the entry daemon from giving up the hop while the backend server works. */
 function createProgress({ timers }: CallContext, response: ServerResponse): { start(): void; close(): void } {
     let timer: Timer | undefined;
--- a/packages/daemon/src/adapters/calls/incoming.ts
+++ b/packages/daemon/src/adapters/calls/incoming.ts
@@ -37,6 +37,8 @@
     readonly requestedDeadlineMs: number | undefined;
     /** Time within which the entry daemon itself would still have started the call, in milliseconds. */
     readonly startWithinMs?: number | undefined;
+    /** Age of the entry daemon's last poll of its connections when it sent the call, in milliseconds. */
+    readonly pollAgeMs?: number;
     /** Value of the route header, if the host of the backend server cannot derive the route itself. */
     readonly route: string | undefined;
 }
@@ -74,6 +76,18 @@
  * can only shorten the deadline, which is covered.
  */
 export const startWithinHeader = "tanagertray-start-ms";
+/** Header with the age of the sender's last poll of its connections, in milliseconds. The HMAC does not cover it. */
+export const pollAgeHeader = "tanagertray-poll-age-ms";
+/** Encodes the age of this daemon's last poll, with which the receiver estimates when a closed connection was noticed. */
+export function encodePollAge({ arrivals, now }: Pick<CallContext, "arrivals" | "now">): readonly string[] {
+    return [pollAgeHeader, String(Math.max(0, Math.ceil(now() - arrivals.lastPoll())))];
+}
+
+/** Returns the age in milliseconds; 0 if the header is missing, as in messages of earlier releases, which do not state it. */
+export function decodePollAge(text: string | undefined): number {
+    return text !== undefined && /^[0-9]{1,6}$/.test(text) ? Number(text) : 0;
+}
+
 const callIdPattern = /^[A-Za-z0-9._:-]{1,128}$/;
 
 /**
@@ -84,12 +98,24 @@
     context: Pick<CallContext, "board" | "now"> & { readonly arrivals: Pick<Arrivals, "earliest"> },
     { socket }: Pick<IncomingMessage, "socket">,
 ): number {
-    const { arrivals, board, now } = context;
+    return earliestRead(context, context.arrivals.earliest(socket));
+}
+
+/** Returns the earliest time at which a message that is read now on an open connection can have arrived. */
+export function earliestMessageArrival(
+    context: Pick<CallContext, "board" | "now"> & { readonly arrivals: Pick<Arrivals, "lastPoll"> },
+): number {
+    return earliestRead(context, context.arrivals.lastPoll());
+}
+
+/** Corrects the estimate of the event loop by the delay of the clock ticks. */
+function earliestRead(context: Pick<CallContext, "board" | "now">, arrivedAt: number): number {
+    const { board, now } = context;
     // A process that is throttled by its CPU quota may be stopped while it seems to wait for events. The last tick, or
     // the one that is due, is then late by the same time.
     const { now: lastTickAt, pausedForMs } = board.read("clock");
     const arrivalByTimerDelay = now() - Math.max(pausedForMs, now() - lastTickAt - tickMs);
-    return Math.min(lastTickBeforePause(context), arrivals.earliest(socket), arrivalByTimerDelay);
+    return Math.min(lastTickBeforePause(context), arrivedAt, arrivalByTimerDelay);
 }
 
 /** Last clock tick before a pause of the process, or infinity if it was not paused. */
@@ -197,6 +223,7 @@
         const callId = head.daemonHeaders.get("tanagertray-call-id");
         const requestedDeadlineMs = parseDeadlineMs(head.daemonHeaders.get("tanagertray-deadline-ms") ?? "");
         const startWithinMs = parseDeadlineMs(head.daemonHeaders.get(startWithinHeader) ?? "");
+        const pollAgeMs = decodePollAge(head.daemonHeaders.get(pollAgeHeader));
         return matched.chain(({ matched, backendPath }) =>
             requestedDeadlineMs === undefined || (callId !== undefined && !callIdPattern.test(callId))
                 ? Left(refusal(RefusalReason.Malformed))
@@ -209,6 +236,7 @@
                       callId,
                       requestedDeadlineMs,
                       startWithinMs,
+                      pollAgeMs,
                       route,
                   }),
         );
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -1,15 +1,18 @@
 import {
+    callerSeenAt,
+    isCallerSilent,
+    maxSilenceAtSendMs,
     refusal,
     RefusalReason,
     remainingMs,
     type BackendServer,
+    type CallerContact,
     type MatchedCall,
     type Refusal,
     type WaitingCall,
 } from "@tanagertray/core";
 import { Left, Right, type Either } from "purify-ts/Either";
 import type { Slot } from "./admissions.js";
-import type { BodyTransfer } from "./bodyTransfers.js";
 import type { Cancellation } from "./cancellation.js";
 import { eagerBodyBytes, maxQueueMs } from "./constants.js";
 import type { CallContext } from "./context.js";
@@ -22,6 +25,7 @@
 import { logUnreachable } from "./unreachable.js";
 import { DispositionKind, type Disposition, type Rejection, type ResponseSink } from "./disposition.js";
 import { logRejection, type RejectionSource } from "./rejections.js";
+import { receiveBody } from "./receivedBody.js";
 import type { BodyAttempt } from "./requestBody.js";
 
 /** A call to a backend server of this host. */
@@ -39,8 +43,11 @@
     readonly body: BodyAttempt;
     readonly cancellation: Cancellation;
     readonly stages: StageTimes;
-    /** Host of the daemon that the call came from, if it is another one and named itself. */
-    readonly entryHost?: string | undefined;
+    /**
+     * What is known of the caller.
+     * @default it is connected to this daemon
+     */
+    readonly caller?: CallerContact;
     /**
      * Called when the backend server is likely not to answer, for a call that may be sent to another host. The call goes
      * on until its cancellation.
@@ -69,70 +76,49 @@
         priority,
         operation: operation.name,
         deadline: call.startBy,
-        entry: context.entryContacts.of(call.entryHost),
+        caller: call.caller,
     };
     const objective = context.now() + latencyObjectiveMs;
     const bytes = call.body.pendingBytes;
     if (bytes <= eagerBodyBytes || !context.bodyTransfers.canBuffer(bytes)) {
         return runInSlot(context, call, { ...waiting, objective });
     }
-    const transfer = await receiveBody(context, call, { ...waiting, objective });
-    if (transfer.isLeft()) {
-        return Left(transfer.extract() as Refusal);
+    const received = await receiveBody(context, call, { ...waiting, objective });
+    if (received.isLeft()) {
+        return Left(received.extract() as Refusal);
     }
+    const { transfer, caller } = received.unsafeCoerce();
     // Without the latency objective, the call may wait until its deadline: sending the body again to another host would
     // take longer than waiting here.
-    return runInSlot(context, call, waiting).finally(() => transfer.unsafeCoerce().close());
+    return runInSlot(context, call, { ...waiting, caller }).finally(() => transfer.close());
 }
 
-/** Receives the body of a call before the call takes a slot, so that no slot is idle while the body arrives. */
-async function receiveBody(
+async function runInSlot(
     context: CallContext,
     call: LocalCall,
-    waiting: WaitingCall,
-): Promise<Either<Refusal, BodyTransfer>> {
-    const { service, priority } = call.matched;
-    const body = { bytes: call.body.pendingBytes, priority };
-    const bodyMs = call.bodyFollowsAdmission ? context.bodyTransfers.waitMs(body) : 0;
-    const refused = context.admissions.refusalBeforeBody(service, waiting, bodyMs);
-    if (refused !== undefined) {
-        return Left(refused);
-    }
-    const startedAt = context.now();
-    const admitted = call.bodyFollowsAdmission
-        ? await context.bodyTransfers.acquire(body, call.cancellation)
-        : Right(context.bodyTransfers.buffer(body.bytes));
-    if (admitted.isLeft()) {
-        return admitted;
-    }
-    const transfer = admitted.unsafeCoerce();
-    const transferTimer = context.timers.after(transfer.maxTransferMs, () => transfer.endTransfer());
-    if (call.bodyFollowsAdmission) {
-        call.onAdmitted();
-    }
-    await call.body.receiveAll(call.cancellation);
-    transferTimer.cancel();
-    transfer.endTransfer();
-    call.stages.bodyMs = context.now() - startedAt;
-    context.entryContacts.noteMessage(call.entryHost);
-    if (call.cancellation.cancelled) {
-        transfer.close();
-        return Left(refusal(RefusalReason.DeadlinePassed));
+    waitingCall: WaitingCall,
+): Promise<Either<Refusal, ExchangeResult>> {
+    const queuedAt = context.now();
+    const waiting = { ...waitingCall, deadline: Math.min(waitingCall.deadline, queuedAt + maxQueueMs) };
+    for (;;) {
+        const outcome = await tryInSlot(context, call, waiting, queuedAt);
+        if (outcome !== undefined) {
+            return outcome;
+        }
+        // A connection or a long turn took so long that the caller may have left. The call waits for a sign of it.
+        context.telemetry.event("call.callerSilent", "debug", { callId: call.callId });
     }
-    return admitted;
 }
 
-async function runInSlot(
+/** Sends the call once it has a slot. Resolves to `undefined` if its caller has been silent for too long by then. */
+async function tryInSlot(
     context: CallContext,
     call: LocalCall,
-    waitingCall: WaitingCall,
-): Promise<Either<Refusal, ExchangeResult>> {
+    waiting: WaitingCall,
+    queuedAt: number,
+): Promise<Either<Refusal, ExchangeResult> | undefined> {
     const { service } = call.matched;
-    const waiting = {
-        ...waitingCall,
-        deadline: Math.min(waitingCall.deadline, context.now() + maxQueueMs),
-    };
-    const queuedAt = context.now();
+    const { caller } = waiting;
     const admitted = await context.admissions.acquire(service, waiting, call.cancellation);
     call.stages.queuedMs = context.now() - queuedAt;
     if (admitted.isLeft()) {
@@ -142,19 +128,26 @@
     const { address, connections } = slot.server;
     let unsentRefusal = refusal(RefusalReason.Unreachable);
     let serverRefusal: Refusal | undefined;
+    let isSilent = false;
 
     function mayWrite(): boolean {
+        const now = context.now();
         if (remainingMs(call.startBy, context.now()) === 0 || call.cancellation.cancelled) {
             unsentRefusal = refusal(RefusalReason.DeadlinePassed);
             return false;
         }
+        isSilent = caller !== undefined && isCallerSilent(caller, { now, limitMs: maxSilenceAtSendMs });
+        if (isSilent) {
+            return false;
+        }
         if (!context.fates.start(call.attemptId, { deadline: call.deadline, readAt: queuedAt })) {
             unsentRefusal = refusal(RefusalReason.Barred);
             return false;
         }
-        const now = context.now();
         call.stages.sentAt = now;
-        call.stages.callerSeenMs = now - (waitingCall.entry?.heardAt ?? context.arrivals.lastPoll());
+        call.stages.callerSeenMs = Math.round(
+            now - (caller === undefined ? context.arrivals.lastPoll() : callerSeenAt(caller)),
+        );
         call.onAdmitted();
         silenceTimer = startSilenceTimer(context, call, slot);
         return true;
@@ -197,22 +190,21 @@
     }
     replaceDeadPool(context, call, slot, { result, startedAt });
     const neverConnected =
-        result.end === ExchangeEnd.NeverWritten && unsentRefusal.reason === RefusalReason.Unreachable;
+        result.end === ExchangeEnd.NeverWritten &&
+        !isSilent &&
+        unsentRefusal.reason === RefusalReason.Unreachable;
     slot.release({ reachable: call.cancellation.cancelled || !neverConnected });
     if (neverConnected) {
         logUnreachable(context, { callId: call.callId, target: slot.server.id, address }, result);
     }
+    if (isSilent && !call.cancellation.cancelled) {
+        return undefined;
+    }
     if (result.end === ExchangeEnd.NeverWritten) {
         return Left(call.cancellation.cancelled ? refusal(RefusalReason.DeadlinePassed) : unsentRefusal);
     }
     if (serverRefusal !== undefined) {
-        const { reason, retryAfterMs } = serverRefusal;
-        context.telemetry.event("call.backendRefused", "info", {
-            callId: call.callId,
-            server: slot.server.id,
-            reason,
-            retryAfterMs,
-        });
+        logBackendRefusal(context, call, slot, serverRefusal);
         return Left(serverRefusal);
     }
     return Right(result);
@@ -287,6 +279,15 @@
     }
 }
 
+function logBackendRefusal(
+    { telemetry }: CallContext,
+    { callId }: LocalCall,
+    { server }: Slot,
+    { reason, retryAfterMs }: Refusal,
+): void {
+    telemetry.event("call.backendRefused", "info", { callId, server: server.id, reason, retryAfterMs });
+}
+
 /** Headers for a backend server: those of the caller and those that the daemon adds. */
 function requestHeaders({ dialect, now }: CallContext, call: LocalCall, server: string): string[] {
     const own = dialect.backendHeaders({
--- a/packages/daemon/src/adapters/calls/requestBody.ts
+++ b/packages/daemon/src/adapters/calls/requestBody.ts
@@ -36,6 +36,8 @@
     readonly maxBytes: number;
     /** Retains a small body after admission too, because the call may be sent again. */
     readonly repeatable: boolean;
+    /** Resolves after the next poll of all connections. */
+    readonly nextPoll: () => Promise<void>;
 }
 
 const noBytes = Buffer.alloc(0);
@@ -120,9 +122,15 @@
     return reader;
 }
 
+/** Replaces the chunk at the index by two, the first of which has the given size. */
+function splitChunk(chunks: Buffer[], index: number, bytes: number): void {
+    const chunk = chunks[index] ?? noBytes;
+    chunks.splice(index, 1, chunk.subarray(0, bytes), chunk.subarray(bytes));
+}
+
 function createNonEmptyBody(
     request: IncomingMessage,
-    { declaredBytes = Infinity, maxBytes, repeatable }: RequestBodyOptions,
+    { declaredBytes = Infinity, maxBytes, repeatable, nextPoll }: RequestBodyOptions,
 ): RequestBody {
     const iterator = request.iterator({ destroyOnReturn: false }) as AsyncIterator<Buffer>;
     const reader = createBodyReader(iterator, maxBytes);
@@ -150,32 +158,37 @@
         const committedOrClosed = new Promise<void>(resolve => (resumeSending = resolve));
         let closed = false;
 
+        // While a body is held back, its connection may not be read. A close that stands behind the rest of the body becomes
+        // visible only at the poll after the one that read the end.
+        const confirmCaller = () => committedOrClosed.then(nextPoll);
+
         async function* send(): AsyncGenerator<Buffer> {
             let index = 0;
             let sentBytes = 0;
             while (!closed) {
                 const chunk = retainedChunks[index];
                 if (chunk === undefined) {
-                    if (reader.ended) {
-                        return;
+                    if (!reader.ended) {
+                        await reader.readNext();
+                        continue;
                     }
-                    await reader.readNext();
-                    continue;
+                    if (sentBytes > eagerBodyBytes && declaredBytes === Infinity) {
+                        await confirmCaller();
+                    }
+                    return;
                 }
                 if (!committed && sentBytes + chunk.length > eagerBodyBytes) {
                     if (sentBytes < eagerBodyBytes) {
-                        const allowedBytes = eagerBodyBytes - sentBytes;
-                        retainedChunks.splice(
-                            index,
-                            1,
-                            chunk.subarray(0, allowedBytes),
-                            chunk.subarray(allowedBytes),
-                        );
+                        splitChunk(retainedChunks, index, eagerBodyBytes - sentBytes);
                     } else {
                         await committedOrClosed;
                     }
                     continue;
                 }
+                const isEnd = reader.receivedBytes === declaredBytes && index === retainedChunks.length - 1;
+                if (isEnd && declaredBytes > eagerBodyBytes) {
+                    await confirmCaller();
+                }
                 index += 1;
                 sentBytes += chunk.length;
                 if (committed && (!repeatable || reader.receivedBytes > maxReplayableBodyBytes)) {
