fix(calls): refuse calls of unconfirmed callers in place of holding them

The age at the write was three turns: the call was polled for twice more, and each answer to a probe was as old.

- One limit of 450 ms, at the slot and at the write.
A call is not polled for again if its caller is confirmed, and is sent at once if the end of the turn would be too late.
- A call that is not confirmed stands in nobody's way, returns its slot once without a service time, and is refused when its entry daemon was asked in vain.
- A closed attempt does not take the chunks of the next one.
- Hosts without a known address share no contact.

--- a/features/hosts.feature
+++ b/features/hosts.feature
@@ -199,6 +199,17 @@
         Then within 1500 ms no call reached the backend server more than 500 ms after its client left
         And a patient upload of 60000 bytes to "a1" is served
 
+    # Guards against calls that are held back again and again because the signs of their callers are a few turns old.
+    Scenario Outline: Hosts whose turns are long serve the calls of other hosts
+        Given daemon processes "a1,a2" that can be made busy for 8000 ms with turns of <turn> ms, and a backend server at "a2"
+        When "<busy>" are busy and 60 patient clients call "a1" over 4800 ms
+        Then at least 54 of them are served
+
+        Examples:
+            | busy  | turn |
+            | a2    | 130  |
+            | a1,a2 | 90   |
+
     # Guards against the loss of a version that only the killed daemons had, and against a stale read after a restart.
     @no-older-version @in-force-everywhere @herd-death @reconnect-storm @stale-read @two-faults
     Scenario: All daemons are killed right after an accept, and the last to restart reads a stale head row
--- a/features/steps/abandonedCalls.ts
+++ b/features/steps/abandonedCalls.ts
@@ -295,6 +295,33 @@
     },
 );
 
+When(
+    "{string} are busy and {int} patient clients call {string} over {int} ms",
+    { timeout: scenarioMs },
+    async function (this: World, busy: string, count: number, name: string, ms: number) {
+        const entry = hostNamed(this, name);
+        const agent = new Agent({ keepAlive: true, maxSockets: count });
+        const times = { deadlineMs: 2_500, leavesAfterMs: 2_500 };
+        const callAt = async (index: number, afterMs: number) => {
+            await sleep(afterMs);
+            return call(this, entry, { id: `p${index}`, ...times, agent });
+        };
+        // Opens the connections that the calls use.
+        await Promise.all(Array.from({ length: count / 2 }, (_, index) => callAt(-1 - index, 0)));
+        busy.split(",").forEach(host => hostNamed(this, host).child.kill("SIGUSR2"));
+        await sleep(busyLeadMs);
+        this.statuses = await Promise.all(
+            Array.from({ length: count }, (_, index) => callAt(index, (index * ms) / count)),
+        );
+        agent.destroy();
+    },
+);
+
+Then("at least {int} of them are served", function (this: World, least: number) {
+    const served = this.statuses.filter(status => status === 200).length;
+    assert.ok(served >= least, `${served} served: ${this.statuses.join()}`);
+});
+
 Then("it is served after {string} has asked the entry daemon", async function (this: World, name: string) {
     assert.equal(this.status, 200);
     const response = await fetch(`http://${hostNamed(this, name).adminAddress}/metrics`);
--- a/features/steps/abandoningClients.ts
+++ b/features/steps/abandoningClients.ts
@@ -12,6 +12,8 @@
     clientLeftAt: Map<string, number>;
     /** Status that the last client received. */
     status: number;
+    /** Statuses that the patient clients received. */
+    statuses: readonly number[];
 }
 
 export const scenarioMs = 40_000;
--- a/packages/core/features/admission.feature
+++ b/packages/core/features/admission.feature
@@ -78,6 +78,15 @@
         Given an admission state with 4 slots in use by partner "east" of share 1
         Then of three waiting calls, the second and the third are admitted while the first may not start, and then the first
 
+    # Guards against calls that are refused behind a call that takes no slot, and against one that waits in vain.
+    Scenario: A waiting call whose caller is not confirmed does not delay other calls
+        Then a waiting call whose caller is not confirmed leaves the free slot to the next call, and is refused when its entry daemon did not confirm it
+
+    # Guards against signs of a caller that come from other connections of its entry daemon while that does not read from it.
+    @not-run-is-true
+    Scenario: A sign of a caller counts for a limited time
+        Then a caller counts as confirmed for 450 ms, by its entry daemon only from the time on at which that reads from it
+
     Scenario Outline: Announcements are validated
         Then an announcement with <field> of <value> is <verdict>
 
--- a/packages/core/features/steps/admission.ts
+++ b/packages/core/features/steps/admission.ts
@@ -3,10 +3,12 @@
     admitNext,
     availableCapacities,
     createServiceAdmission,
+    isCallerConfirmed,
     maxQueuedCalls,
     readAnnouncement,
     releaseSlot,
     removeExpired,
+    removeUnconfirmed,
     removeWaiting,
     requestAdmission,
     type AdmissionDecision,
@@ -273,6 +275,34 @@
     },
 );
 
+/** Entry daemon that last confirmed its callers too long ago, and the signs of its callers before and after it was asked. */
+const entry = { confirmedAt: now - 10_000 };
+const callerOf = (watchedSince: number) => ({ entry, seenAt: entry.confirmedAt, watchedSince });
+
+Then(
+    "a waiting call whose caller is not confirmed leaves the free slot to the next call, and is refused when its entry daemon did not confirm it",
+    function () {
+        const state = createServiceAdmission();
+        const unconfirmed = { ...waitingCall("east", 1), caller: callerOf(-Infinity) };
+        assert.equal(requestAdmission(state, unconfirmed, capacities, now).kind, "queued");
+        const next = requestAdmission(state, waitingCall("west", 1), capacities, now);
+        assert.equal(next.kind, "admitted");
+        assert.deepEqual(removeUnconfirmed(state, capacities, { entry, now }), [unconfirmed]);
+        assert.equal(state.queued, 0);
+    },
+);
+
+Then(
+    "a caller counts as confirmed for 450 ms, by its entry daemon only from the time on at which that reads from it",
+    function () {
+        const confirmed = { entry: { confirmedAt: now }, seenAt: now - 500 };
+        assert.equal(isCallerConfirmed({ ...confirmed, watchedSince: now }, now + 450), true);
+        assert.equal(isCallerConfirmed({ ...confirmed, watchedSince: now }, now + 451), false);
+        assert.equal(isCallerConfirmed({ ...confirmed, watchedSince: now + 1 }, now), false);
+        assert.equal(isCallerConfirmed({ ...confirmed, seenAt: now, watchedSince: Infinity }, now), true);
+    },
+);
+
 Then(
     /^an announcement with (\w+) of (.+) is (valid|invalid)$/,
     function (field: string, value: string, verdict: string) {
--- a/packages/core/src/admission/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -1,11 +1,10 @@
 import { Left, Right, type Either } from "purify-ts/Either";
 import { refusal, RefusalReason, type Refusal } from "../calls/refusal.js";
-import type { Service } from "../configuration/resource.js";
-import { hasValidLease } from "./announcement.js";
 import type { CapacityReport } from "../routing/observation.js";
-import { BackendServerState, type BackendServer } from "./backendServer.js";
+import type { BackendServer } from "./backendServer.js";
+import { leastUsedServer, type Capacity } from "./capacity.js";
 import type { ConcurrencyLimit } from "./concurrencyLimit.js";
-import { isCallerSilent, type CallerContact } from "./entryContact.js";
+import { isCallerConfirmed, type CallerContact, type EntryContact } from "./entryContact.js";
 import type { ServiceTimes } from "./serviceTimes.js";
 
 /** Maximum number of calls of one service that may wait on a host. */
@@ -61,7 +60,7 @@
      */
     readonly operation?: string;
     /**
-     * What is known of the caller. A call whose caller is silent waits, although a slot is free.
+     * What is known of the caller. A call whose caller is not confirmed waits, although a slot is free.
      * @default the caller is known to be connected
      */
     readonly caller?: CallerContact | undefined;
@@ -89,12 +88,6 @@
     readonly concurrencyLimits: Map<string, ConcurrencyLimit>;
 }
 
-/** A backend server and the number of calls that it may process concurrently. */
-export interface Capacity {
-    readonly server: BackendServer;
-    readonly slots: number;
-}
-
 export const AdmissionKind = { Admitted: "admitted", Queued: "queued", Refused: "refused" } as const;
 export type AdmissionKind = (typeof AdmissionKind)[keyof typeof AdmissionKind];
 
@@ -116,31 +109,6 @@
     };
 }
 
-/** Returns the backend servers of a service that accept calls; the lower of the announced and configured limits applies. */
-export function availableCapacities(
-    service: Service,
-    servers: Iterable<BackendServer>,
-    now: number,
-): readonly Capacity[] {
-    return [...servers]
-        .filter(
-            server =>
-                server.service === service.name &&
-                server.state === BackendServerState.Serving &&
-                hasValidLease(server, now),
-        )
-        .map(server => ({
-            server,
-            slots: Math.min(
-                service.slots,
-                service.connections,
-                server.slots ?? Infinity,
-                server.connections ?? Infinity,
-            ),
-        }))
-        .filter(({ slots }) => slots > 0);
-}
-
 /** Admits a call to a free slot, queues it, or refuses it. When the queue is full, another call may be dropped instead. */
 export function requestAdmission(
     state: ServiceAdmission,
@@ -151,7 +119,7 @@
     return estimateSlot(state, call, capacities, { now, bodyMs: 0 }).caseOf<AdmissionDecision>({
         Left: refused => ({ kind: AdmissionKind.Refused, refusal: refused }),
         Right({ server, waitMs }) {
-            if (server === undefined || (call.caller !== undefined && isCallerSilent(call.caller, { now }))) {
+            if (server === undefined || !isConfirmed(call, now)) {
                 return enqueue(state, call, waitMs);
             }
             occupySlot(state, call.partner, server);
@@ -174,6 +142,17 @@
     return estimateSlot(state, call, capacities, times).swap().toMaybe().extract();
 }
 
+function isConfirmed({ caller }: WaitingCall, now: number): boolean {
+    return caller === undefined || isCallerConfirmed(caller, now);
+}
+
+/** Whether a call waits that takes the next free slot. Others do not stand in the way of a new call. */
+function hasConfirmedCall({ queued, partners }: ServiceAdmission, now: number): boolean {
+    return (
+        queued > 0 && [...partners.values()].some(({ queue }) => queue.some(call => isConfirmed(call, now)))
+    );
+}
+
 interface SlotEstimate {
     /** Backend server with a free slot, if any. */
     readonly server: BackendServer | undefined;
@@ -193,7 +172,8 @@
     if (call.deadline <= now) {
         return Left(refusal(RefusalReason.DeadlinePassed));
     }
-    const server = state.queued === 0 ? leastUsedServer(state, capacities) : undefined;
+    const freeServer = leastUsedServer(state, capacities);
+    const server = freeServer !== undefined && !hasConfirmedCall(state, now) ? freeServer : undefined;
     const waitMs = Math.max(bodyMs, server === undefined ? expectedWaitMs(state, call, capacities) : 0);
     return waitMs > 0 && waitMs > maxWaitMs(state, call, now)
         ? Left(refusal(RefusalReason.WaitTooLong, waitMs))
@@ -301,6 +281,25 @@
     return true;
 }
 
+/**
+ * Removes and returns the calls of an entry daemon whose callers it has not confirmed although it was asked. They keep no
+ * slot free, and other hosts may take them.
+ */
+export function removeUnconfirmed(
+    state: ServiceAdmission,
+    capacities: readonly Capacity[],
+    { entry, now }: { readonly entry: EntryContact; readonly now: number },
+): readonly WaitingCall[] {
+    if (leastUsedServer(state, capacities) === undefined) {
+        return [];
+    }
+    const unconfirmed = [...state.partners.values()].flatMap(({ queue }) =>
+        queue.filter(call => call.caller?.entry === entry && !isConfirmed(call, now)),
+    );
+    unconfirmed.forEach(call => removeWaiting(state, call));
+    return unconfirmed;
+}
+
 /** Removes and returns the waiting calls that can no longer be served before their deadline. */
 export function removeExpired(state: ServiceAdmission, now: number): readonly WaitingCall[] {
     const minServiceMs = (call: WaitingCall) =>
@@ -312,11 +311,11 @@
     return expired;
 }
 
-export function releaseSlot(
+/** Frees a slot that the call has not used. */
+export function returnSlot(
     state: ServiceAdmission,
-    call: Pick<WaitingCall, "partner" | "operation">,
+    call: Pick<WaitingCall, "partner">,
     serverId: string,
-    elapsedMs: number,
 ): void {
     const remaining = (state.inUse.get(serverId) ?? 1) - 1;
     if (remaining > 0) {
@@ -326,6 +325,16 @@
     }
     usageOf(state, call.partner).inUse -= 1;
     deleteIfIdle(state, call.partner);
+}
+
+/** Frees the slot of a call that has ended, and records how long the call took. */
+export function releaseSlot(
+    state: ServiceAdmission,
+    call: Pick<WaitingCall, "partner" | "operation">,
+    serverId: string,
+    elapsedMs: number,
+): void {
+    returnSlot(state, call, serverId);
     state.serviceMs += serviceTimeWeight * (elapsedMs - state.serviceMs);
     state.longTermServiceMs = movingAverage(state.longTermServiceMs, elapsedMs);
     const operation = operationOf(call);
@@ -359,13 +368,6 @@
     return { calls: inUse + state.queued + receivingBodies, slots, serviceMs: state.longTermServiceMs };
 }
 
-/** Calls in a slot or in the queue, relative to the service's slots on this host, from 0 to 1; 1 if there are no slots. */
-export function loadOf(state: ServiceAdmission | undefined, capacities: readonly Capacity[]): number {
-    const slots = capacities.reduce((sum, capacity) => sum + capacity.slots, 0);
-    const used = capacities.reduce((sum, { server }) => sum + (state?.inUse.get(server.id) ?? 0), 0);
-    return slots === 0 ? 1 : Math.min(1, (used + (state?.queued ?? 0)) / slots);
-}
-
 /**
  * Estimates the time until a call gets a slot. Only the calls that the fair queue admits before it count: from every
  * other partner, as many in proportion to its share as the call's own partner has ahead of the call. When all waiting
@@ -395,17 +397,6 @@
     return serviceMs * calls.reduce((sum, call) => sum + relativeServiceTime(call), 0);
 }
 
-function leastUsedServer(
-    state: ServiceAdmission,
-    capacities: readonly Capacity[],
-): BackendServer | undefined {
-    const utilization = ({ server, slots }: Capacity) => (state.inUse.get(server.id) ?? 0) / slots;
-    const free = capacities
-        .filter(capacity => utilization(capacity) < 1)
-        .sort((a, b) => utilization(a) - utilization(b));
-    return free[0]?.server;
-}
-
 function occupySlot(state: ServiceAdmission, partner: string, server: BackendServer): void {
     state.inUse.set(server.id, (state.inUse.get(server.id) ?? 0) + 1);
     usageOf(state, partner).inUse += 1;
--- a/packages/core/src/admission/concurrencyLimit.ts
+++ b/packages/core/src/admission/concurrencyLimit.ts
@@ -1,4 +1,4 @@
-import type { Capacity } from "./admission.js";
+import type { Capacity } from "./capacity.js";
 
 /**
  * Limit of the calls sent to a backend server at a time, below its announced slots. Some servers never answer a request
--- a/packages/core/src/admission/entryContact.ts
+++ b/packages/core/src/admission/entryContact.ts
@@ -18,21 +18,17 @@
     readonly seenAt: number;
     /**
      * Time from which on the entry daemon reads from the caller's connection without a pause, in milliseconds since the
-     * epoch. It does not notice a close that stands behind a part of the body that it has not read.
+     * epoch; infinity if it may still be paused. It does not notice a close that stands behind a part of the body that it
+     * has not read.
      */
     readonly watchedSince: number;
 }
 
 /**
- * Time without a sign of the caller after which a waiting call gets no slot, in milliseconds. What is left of
- * `maxSilenceAtSendMs` is for its connection and the rest of the turn of the event loop.
+ * Age of the last sign of a caller above which its call is not sent, in milliseconds. A backend server should not be reached
+ * half a second after the caller left; the rest is for the way between the hosts and to the backend server.
  */
-export const maxCallerSilenceMs = 300;
-/**
- * Time without a sign of the caller after which a call is not sent, in milliseconds. A backend server should not be reached
- * half a second after the caller left; the rest is for the way to the backend server and between the hosts.
- */
-export const maxSilenceAtSendMs = 450;
+export const maxConfirmationAgeMs = 450;
 
 /**
  * Latest time at which the caller is known to have been connected.
@@ -49,18 +45,16 @@
 }
 
 /**
- * Whether there has been no sign of the caller for so long that it may have left unnoticed.
+ * Whether the last sign of the caller is recent enough to send its call.
  *
+ * @param now - milliseconds since the epoch
  * @example
  * ```ts
  * const caller = { entry: { confirmedAt: 1_000 }, seenAt: 1_000, watchedSince: 0 };
- * isCallerSilent(caller, { now: 1_300 }); // false
- * isCallerSilent(caller, { now: 1_301 }); // true
+ * isCallerConfirmed(caller, 1_450); // true
+ * isCallerConfirmed(caller, 1_451); // false
  * ```
  */
-export function isCallerSilent(
-    caller: CallerContact,
-    { now, limitMs = maxCallerSilenceMs }: { readonly now: number; readonly limitMs?: number },
-): boolean {
-    return now - callerSeenAt(caller) > limitMs;
+export function isCallerConfirmed(caller: CallerContact, now: number): boolean {
+    return now - callerSeenAt(caller) <= maxConfirmationAgeMs;
 }
--- a/packages/core/src/admission/unansweredCalls.ts
+++ b/packages/core/src/admission/unansweredCalls.ts
@@ -1,4 +1,5 @@
-import { maxTimedOperations, type Capacity, type ServiceAdmission } from "./admission.js";
+import { maxTimedOperations, type ServiceAdmission } from "./admission.js";
+import type { Capacity } from "./capacity.js";
 import { limitAfterResponse, limitAfterSilence, maxConcurrencyLimits } from "./concurrencyLimit.js";
 import { addServiceTime } from "./serviceTimes.js";
 
--- a/packages/core/src/calls/refusal.ts
+++ b/packages/core/src/calls/refusal.ts
@@ -17,6 +17,8 @@
     WaitTooLong: "waitTooLong",
     /** The daemon read the call so late that it is unlikely to be answered in time. */
     Overloaded: "overloaded",
+    /** There is no recent sign that the caller is still connected. */
+    CallerUnconfirmed: "callerUnconfirmed",
     DeadlinePassed: "deadlinePassed",
     Barred: "barred",
     Unreachable: "unreachable",
@@ -49,6 +51,7 @@
     [RefusalReason.BackendRefused]: 200,
     [RefusalReason.BackendReplaced]: 200,
     [RefusalReason.Barred]: 200,
+    [RefusalReason.CallerUnconfirmed]: 200,
     [RefusalReason.DeadlinePassed]: 200,
     [RefusalReason.QueueFull]: 300,
     [RefusalReason.NoBackendServer]: 300,
@@ -72,6 +75,7 @@
     [RefusalReason.OverShare]: 429,
     [RefusalReason.WaitTooLong]: 503,
     [RefusalReason.Overloaded]: 503,
+    [RefusalReason.CallerUnconfirmed]: 503,
     [RefusalReason.DeadlinePassed]: 504,
     [RefusalReason.Barred]: 503,
     [RefusalReason.Unreachable]: 503,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -71,6 +71,7 @@
 export * from "./admission/announcement.js";
 export * from "./admission/admission.js";
 export * from "./admission/bodyWindow.js";
+export * from "./admission/capacity.js";
 export * from "./admission/entryContact.js";
 export * from "./admission/lateness.js";
 export * from "./admission/serviceTimes.js";
--- a/packages/daemon/src/adapters/calls/admissions.ts
+++ b/packages/daemon/src/adapters/calls/admissions.ts
@@ -3,7 +3,7 @@
     admitNext,
     availableCapacities,
     createServiceAdmission,
-    isCallerSilent,
+    isCallerConfirmed,
     limitCapacities,
     loadOf,
     recordResponseTime,
@@ -13,10 +13,12 @@
     RefusalReason,
     releaseSlot,
     removeExpired,
+    removeUnconfirmed,
     removeWaiting,
     reportCapacity,
     requestAdmission,
     ResourceKind,
+    returnSlot,
     resourceName,
     silenceLimitMs,
     type BackendServer,
@@ -39,6 +41,8 @@
     readonly server: BackendServer;
     /** Releases the slot. A backend server that was not reachable is avoided for a short time. */
     release(options: { readonly reachable: boolean }): void;
+    /** Returns the slot, which the call has not used. */
+    putBack(): void;
 }
 
 export interface Admissions {
@@ -78,7 +82,7 @@
 
 export interface AdmissionsOptions {
     readonly now: () => number;
-    /** Asks the entry daemon of a silent caller whose call is the next to start. */
+    /** Asks the entry daemon of an unconfirmed caller whose call is the next to start. */
     readonly probe: EntryContacts["probe"];
     /**
      * Number of calls whose bodies are still arriving or queued, which a capacity report includes.
@@ -175,49 +179,64 @@
 ): Slot {
     const { now, occupiedSlots, avoidedUntil } = context;
     const takenAt = now();
+    function free(update: (state: ServiceAdmission) => void): void {
+        if (occupiedSlots.delete(slot)) {
+            update(stateOf(context, service));
+            assignFreeSlots(context, service);
+        }
+    }
+
     const slot: Slot = {
         server,
         release({ reachable }) {
             if (!reachable) {
                 avoidedUntil.set(server.id, now() + unreachableServerAvoidMs);
             }
-            if (occupiedSlots.delete(slot)) {
-                releaseSlot(stateOf(context, service), call, server.id, now() - takenAt);
-                assignFreeSlots(context, service);
-            }
+            free(state => releaseSlot(state, call, server.id, now() - takenAt));
         },
+        putBack: () => free(state => returnSlot(state, call, server.id)),
     };
     occupiedSlots.set(slot, { cancellation, service });
     return slot;
 }
 
-/** Assigns free slots to waiting calls, or refuses these when the service has no backend server. */
-function assignFreeSlots(context: AdmissionContext, name: string): void {
+/**
+ * Assigns free slots to waiting calls, or refuses these when the service has no backend server.
+ *
+ * @param asked - entry daemon whose probe has ended; its callers that it has not confirmed are refused
+ */
+function assignFreeSlots(context: AdmissionContext, name: string, asked?: EntryContact): void {
     const service = serviceOf(context.board, name);
     const state = context.states.get(name);
     if (service === undefined || state === undefined || state.queued === 0) {
         return;
     }
+    const refuse = (call: WaitingCall, reason: RefusalReason) => settle(context, call, Left(refusal(reason)));
     const available = capacities(context, service);
     if (available.length === 0) {
         const queued = [...state.partners.values()].flatMap(use => use.queue);
         queued.forEach(call => removeWaiting(state, call));
-        return queued.forEach(call => settle(context, call, Left(refusal(RefusalReason.NoBackendServer))));
+        return queued.forEach(call => refuse(call, RefusalReason.NoBackendServer));
     }
-    const silentEntries = new Set<EntryContact>();
+    const unconfirmedEntries = new Set<EntryContact>();
     const mayStart = ({ caller }: WaitingCall) => {
-        const isSilent = caller !== undefined && isCallerSilent(caller, { now: context.now() });
-        if (isSilent) {
-            silentEntries.add(caller.entry);
+        const isConfirmed = caller === undefined || isCallerConfirmed(caller, context.now());
+        if (!isConfirmed) {
+            unconfirmedEntries.add(caller.entry);
         }
-        return !isSilent;
+        return isConfirmed;
     };
     const admit = () => admitNext(state, available, { mayStart });
     for (let next = admit(); next !== undefined; next = admit()) {
         settle(context, next.call, Right(next.server));
     }
+    if (asked !== undefined) {
+        unconfirmedEntries.delete(asked);
+        const unconfirmed = removeUnconfirmed(state, available, { entry: asked, now: context.now() });
+        unconfirmed.forEach(call => refuse(call, RefusalReason.CallerUnconfirmed));
+    }
     // Calls of other services that wait for the same probe are assigned at the next clock tick.
-    silentEntries.forEach(entry => context.probe(entry, () => assignFreeSlots(context, name)));
+    unconfirmedEntries.forEach(entry => context.probe(entry, () => assignFreeSlots(context, name, entry)));
 }
 
 function settle(
@@ -244,7 +263,7 @@
                 if (dropped !== undefined) {
                     settle(context, dropped, Left(refusal(RefusalReason.OverShare)));
                 }
-                // Slots are free while all callers ahead are silent, or this one is.
+                // Slots are free while no caller ahead is confirmed, or this one is not.
                 assignFreeSlots(context, service.name);
             },
         } satisfies Record<AdmissionKind, (decision: never) => void>;
--- a/packages/daemon/src/adapters/calls/arrivals.ts
+++ b/packages/daemon/src/adapters/calls/arrivals.ts
@@ -13,6 +13,8 @@
     earliest(socket: Socket): number;
     /** Earliest possible arrival of anything else that is read now, such as the end of a connection. */
     lastPoll(): number;
+    /** Time that the loop was busy in the last turn, in milliseconds: how long the rest of this one may take. */
+    lastTurnMs(): number;
     /** Resolves after the next poll of all sockets. */
     nextPoll(): Promise<void>;
 }
@@ -152,6 +154,7 @@
             return wasSentWithConnection ? Math.min(connection.earliestArrival, polledAt) : polledAt;
         },
         lastPoll,
+        lastTurnMs: () => lastTurn.endedAt - lastTurnPoll(),
         nextPoll: () => endOfTurn().then(endOfTurn),
         close: () => subscription.close(),
     };
--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -23,7 +23,7 @@
 } from "@tanagertray/core";
 import type { Cancellation } from "./cancellation.js";
 import { capacityHeader, decodeCapacity } from "./capacityHeader.js";
-import { hopSilenceMs, maxHopConnections } from "./constants.js";
+import { hopSilenceMs, maxHopConnections, maxHopSends } from "./constants.js";
 import type { CallContext } from "./context.js";
 import { UnknownCause } from "./dialect.js";
 import { entryHostHeader } from "./entryContacts.js";
@@ -35,12 +35,14 @@
 import {
     answeredElsewhere,
     callerDisconnected,
-    encodePollAge,
+    pollAgeHeader,
+    pollAgeMs,
     startWithinHeader,
     type IncomingCall,
 } from "./incoming.js";
 import { runLocally } from "./localCall.js";
 import { DispositionKind, type Disposition, type ResponseSink } from "./disposition.js";
+import { longTurnMs } from "./pendingEvents.js";
 import { logRejection } from "./rejections.js";
 import type { BodyAttempt } from "./requestBody.js";
 import { decodeHopStages, hopStagesHeader, stageLogFields, type StageTimes } from "./stageTimes.js";
@@ -210,34 +212,47 @@
     }
 
     const { address } = selection.target;
-    const result = await exchange({
-        connections: context.pools.get(address, maxHopConnections),
-        id: attempt.attemptId,
-        idHeader: attemptHeader,
-        requiresEchoedId: true,
-        method: call.method,
-        path: call.url,
-        headers: hopHeaders(context, attempt),
-        lateHeaders: () => encodePollAge(context),
-        body: body.payload,
-        cancellation: attempt.cancellation,
-        timers: context.timers,
-        headIdleTimeoutMs: hopSilenceMs,
-        mayWrite() {
-            const mayStart = remainingMs(attempt.startBy, context.now()) > 0;
-            if (mayStart) {
-                attempt.stages.sentAt = context.now();
-            }
-            return mayStart;
-        },
-        onInformationalResponse(status) {
-            body.commit();
-            if (status === silenceStatus) {
-                attempt.onSilence?.();
-            }
-        },
-        onHead,
-    });
+    let statedPollAgeMs = 0;
+    let isOutdated = false;
+    const send = () =>
+        exchange({
+            connections: context.pools.get(address, maxHopConnections),
+            id: attempt.attemptId,
+            idHeader: attemptHeader,
+            requiresEchoedId: true,
+            method: call.method,
+            path: call.url,
+            headers: hopHeaders(context, attempt),
+            lateHeaders() {
+                statedPollAgeMs = pollAgeMs(context);
+                return [pollAgeHeader, String(statedPollAgeMs)];
+            },
+            isUpToDate: () => pollAgeMs(context) <= longTurnMs,
+            body: body.payload,
+            cancellation: attempt.cancellation,
+            timers: context.timers,
+            headIdleTimeoutMs: hopSilenceMs,
+            mayWrite() {
+                const mayStart = remainingMs(attempt.startBy, context.now()) > 0;
+                // A new connection may have been made in a long turn, after the age was stated.
+                isOutdated = mayStart && pollAgeMs(context) > statedPollAgeMs + longTurnMs;
+                if (mayStart && !isOutdated) {
+                    attempt.stages.sentAt = context.now();
+                }
+                return mayStart && !isOutdated;
+            },
+            onInformationalResponse(status) {
+                body.commit();
+                if (status === silenceStatus) {
+                    attempt.onSilence?.();
+                }
+            },
+            onHead,
+        });
+    let result = await send();
+    for (let sends = 1; isOutdated && sends < maxHopSends && !attempt.cancellation.cancelled; sends += 1) {
+        result = await send();
+    }
     if (result.silent) {
         context.pools.retire(address);
         context.telemetry.event("call.poolReplaced", "warn", { address });
--- a/packages/daemon/src/adapters/calls/constants.ts
+++ b/packages/daemon/src/adapters/calls/constants.ts
@@ -32,6 +32,10 @@
 export const maxFateWaitMs = 1_000;
 /** Silence after which a probe of an entry daemon counts as unanswered, in milliseconds. */
 export const probeSilenceMs = 1_000;
+/** How often a call is sent to another daemon if its connection takes so long that what it states is outdated. */
+export const maxHopSends = 3;
+/** How often a call returns its slot because its caller was not confirmed when it was about to be sent. */
+export const maxPutBacks = 1;
 /** Maximum number of connections to one other daemon. */
 export const maxHopConnections = 128;
 /** Idle timeout of pooled connections, in milliseconds. The listeners keep theirs open for 30 s. */
--- a/packages/daemon/src/adapters/calls/entryContacts.ts
+++ b/packages/daemon/src/adapters/calls/entryContacts.ts
@@ -8,7 +8,7 @@
 import { exchange } from "./exchange.js";
 import { headerValue } from "./headers.js";
 import { attemptHeader } from "./hopToken.js";
-import { decodePollAge, earliestMessageArrival, encodePollAge, pollAgeHeader } from "./incoming.js";
+import { decodePollAge, earliestMessageArrival, pollAgeHeader, pollAgeMs } from "./incoming.js";
 
 /** Request header in which an entry daemon names its host. The HMAC of a hop does not cover it. */
 export const entryHostHeader = "tanagertray-entry";
@@ -21,8 +21,8 @@
 export interface EntryContacts {
     /** Notes that a call of the host has been read, whose caller was connected at `seenAt`. */
     noteCall(call: { readonly host: string; readonly seenAt: number }): CallerContact;
-    /** Sends a probe to the host of the contact, and calls the listener after its answer. Ignored while one is in flight. */
-    probe(contact: EntryContact, onAnswer: () => void): void;
+    /** Sends a probe to the host of the contact, and calls the listener when it has ended. Ignored while one is in flight. */
+    probe(contact: EntryContact, onEnd: () => void): void;
     close(): void;
 }
 
@@ -34,7 +34,7 @@
 
 type ContactsContext = Pick<CallContext, "arrivals" | "board" | "now" | "pools" | "telemetry" | "timers">;
 
-/** Records until when entry daemons are known to have noticed the callers that left, and probes the silent ones. */
+/** Records until when entry daemons are known to have noticed the callers that left, and probes them. */
 export function createEntryContacts(context: ContactsContext): EntryContacts {
     const { board, now, telemetry } = context;
     const entries = new Map<string, KnownEntry>();
@@ -59,7 +59,7 @@
         contact.confirmedAt = Math.max(contact.confirmedAt, confirmedAt);
     }
 
-    async function sendProbe(entry: KnownEntry, address: string, onAnswer: () => void): Promise<void> {
+    async function sendProbe(entry: KnownEntry, address: string, onEnd: () => void): Promise<void> {
         entry.isProbed = true;
         const { host, contact } = entry;
         const sentAt = now();
@@ -71,8 +71,8 @@
         if (answered) {
             // The answer follows a poll that came after the probe.
             confirm(entry, Math.max(sentAt, answeredAt));
-            onAnswer();
         }
+        onEnd();
     }
 
     /** Asks the daemon to poll its connections, and returns the earliest time of that poll; `undefined` without an answer. */
@@ -120,15 +120,21 @@
     const subscription = board.observe(["clock"], removeUnused);
     return {
         noteCall({ host, seenAt }) {
+            // A host without a known address cannot be asked, and its name is not verified.
+            if (addressOf(host) === undefined) {
+                return { entry: { confirmedAt: seenAt }, seenAt, watchedSince: -Infinity };
+            }
             const entry = entryOf(host);
             confirm(entry, seenAt);
             return { entry: entry.contact, seenAt, watchedSince: -Infinity };
         },
-        probe(contact, onAnswer) {
+        probe(contact, onEnd) {
             const entry = entryByContact.get(contact);
             const address = entry === undefined ? undefined : addressOf(entry.host);
-            if (entry !== undefined && address !== undefined && !entry.isProbed) {
-                void sendProbe(entry, address, onAnswer);
+            if (entry === undefined || address === undefined) {
+                queueMicrotask(onEnd);
+            } else if (!entry.isProbed) {
+                void sendProbe(entry, address, onEnd);
             }
         },
         close() {
@@ -150,5 +156,5 @@
     const id = String(request.headers[attemptHeader]);
     await context.arrivals.nextPoll();
     const echoedId = probeIdPattern.test(id) ? [attemptHeader, id] : [];
-    response.writeHead(probeStatus, [...echoedId, ...encodePollAge(context)]).end();
+    response.writeHead(probeStatus, [...echoedId, pollAgeHeader, String(pollAgeMs(context))]).end();
 }
--- a/packages/daemon/src/adapters/calls/exchange.ts
+++ b/packages/daemon/src/adapters/calls/exchange.ts
@@ -4,7 +4,7 @@
 import { canCarry, type Connection, type TrackedDispatchOptions } from "./connections.js";
 import { maxBytesWithoutBody, maxRefusalBytes, maxResponseBytes, refusalBodyTimeoutMs } from "./constants.js";
 import { headerValues } from "./headers.js";
-import { waitForPendingEvents } from "./pendingEvents.js";
+import { waitForPendingEvents, type PendingEventsOptions } from "./pendingEvents.js";
 import type { ConnectionPool } from "./pools.js";
 import { bodilessStatuses, rejectionCauseOf, type ReceivedHead } from "./receivedHead.js";
 import { DispositionKind, type Disposition, type Rejection, type ResponseSink } from "./disposition.js";
@@ -21,7 +21,7 @@
 } as const;
 export type ExchangeEnd = (typeof ExchangeEnd)[keyof typeof ExchangeEnd];
 
-export interface ExchangeOptions {
+export interface ExchangeOptions extends PendingEventsOptions {
     /** If no pooled connection can carry the exchange, it gets a new one. */
     readonly connections: ConnectionPool;
     /** Id that the request carries and its response echoes; `undefined` if it carries none. */
@@ -37,7 +37,7 @@
     readonly path: string;
     readonly headers: string[];
     /**
-     * Returns further headers once the events of the turn have been read, just before the request is sent.
+     * Returns further headers once the events of the turn have been read, before the request gets a connection.
      * @default none
      */
     readonly lateHeaders?: () => readonly string[];
@@ -107,7 +107,7 @@
 
 /** Sends one request and forwards its response, both with back-pressure. */
 export async function exchange(options: ExchangeOptions): Promise<ExchangeResult> {
-    await waitForPendingEvents();
+    await waitForPendingEvents(options);
     if (options.id !== undefined) {
         const result = await exchangeOn(options.connections.dispatcher, options);
         if (result.error !== unusableConnectionError) {
--- a/packages/daemon/src/adapters/calls/handleHop.ts
+++ b/packages/daemon/src/adapters/calls/handleHop.ts
@@ -13,7 +13,6 @@
 import { attemptHeader, claimedAttemptId, verifyHop } from "./hopToken.js";
 import {
     CallPlace,
-    cancelIfDisconnected,
     checkAcceptingCalls,
     checkShutdownTimeLeft,
     earliestArrival,
@@ -84,10 +83,6 @@
     const place = CallPlace.Hop;
     const cancelScope = openCancellation(context, response, { deadline, place, callId, stages });
     const span = context.telemetry.startSpan("hop", head.daemonHeaders.get("traceparent"));
-    const callerCheck = cancelIfDisconnected(context, cancelScope.cancellation, { request, arrivedAt });
-    if (callerCheck !== undefined) {
-        await callerCheck;
-    }
     const caller = context.entryContacts.noteCall({
         host: head.daemonHeaders.get(entryHostHeader) ?? "",
         seenAt: arrivedAt - (call.pollAgeMs ?? 0),
--- a/packages/daemon/src/adapters/calls/incoming.ts
+++ b/packages/daemon/src/adapters/calls/incoming.ts
@@ -78,16 +78,18 @@
 export const startWithinHeader = "tanagertray-start-ms";
 /** Header with the age of the sender's last poll of its connections, in milliseconds. The HMAC does not cover it. */
 export const pollAgeHeader = "tanagertray-poll-age-ms";
-/** Encodes the age of this daemon's last poll, with which the receiver estimates when a closed connection was noticed. */
-export function encodePollAge({ arrivals, now }: Pick<CallContext, "arrivals" | "now">): readonly string[] {
-    return [pollAgeHeader, String(Math.max(0, Math.ceil(now() - arrivals.lastPoll())))];
+/** Returns the age of this daemon's last poll, in milliseconds. The closes that it read have been acted on. */
+export function pollAgeMs({ arrivals, now }: Pick<CallContext, "arrivals" | "now">): number {
+    return Math.max(0, Math.ceil(now() - arrivals.lastPoll()));
 }
 
-/** Returns the age in milliseconds; 0 if the header is missing, as in messages of earlier releases, which do not state it. */
+/**
+ * Returns the age that the sender states, in milliseconds. Messages of earlier releases do not state it, which counts as 0;
+ * one that is not valid counts as infinite.
+ */
 export function decodePollAge(text: string | undefined): number {
-    return text !== undefined && /^[0-9]{1,6}$/.test(text) ? Number(text) : 0;
+    return text === undefined ? 0 : /^[0-9]{1,6}$/.test(text) ? Number(text) : Infinity;
 }
-
 const callIdPattern = /^[A-Za-z0-9._:-]{1,128}$/;
 
 /**
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -1,7 +1,6 @@
 import {
     callerSeenAt,
-    isCallerSilent,
-    maxSilenceAtSendMs,
+    isCallerConfirmed,
     refusal,
     RefusalReason,
     remainingMs,
@@ -14,12 +13,13 @@
 import { Left, Right, type Either } from "purify-ts/Either";
 import type { Slot } from "./admissions.js";
 import type { Cancellation } from "./cancellation.js";
-import { eagerBodyBytes, maxQueueMs } from "./constants.js";
+import { eagerBodyBytes, maxPutBacks, maxQueueMs } from "./constants.js";
 import type { CallContext } from "./context.js";
 import { ResponseClass } from "./dialect.js";
 import { exchange, ExchangeEnd, type ExchangeResult } from "./exchange.js";
 import { headerValue } from "./headers.js";
 import { deadlinePassed } from "./incoming.js";
+import { longTurnMs } from "./pendingEvents.js";
 import type { StageTimes } from "./stageTimes.js";
 import type { Timer } from "./timers.js";
 import { logUnreachable } from "./unreachable.js";
@@ -80,9 +80,14 @@
     };
     const objective = context.now() + latencyObjectiveMs;
     const bytes = call.body.pendingBytes;
-    if (bytes <= eagerBodyBytes || !context.bodyTransfers.canBuffer(bytes)) {
+    if (bytes <= eagerBodyBytes) {
         return runInSlot(context, call, { ...waiting, objective });
     }
+    if (!context.bodyTransfers.canBuffer(bytes)) {
+        // The body is read only while it is sent. Until then its entry daemon holds it back and may not notice a close.
+        const caller = call.caller && { ...call.caller, watchedSince: Infinity };
+        return runInSlot(context, call, { ...waiting, caller, objective });
+    }
     const received = await receiveBody(context, call, { ...waiting, objective });
     if (received.isLeft()) {
         return Left(received.extract() as Refusal);
@@ -100,17 +105,17 @@
 ): Promise<Either<Refusal, ExchangeResult>> {
     const queuedAt = context.now();
     const waiting = { ...waitingCall, deadline: Math.min(waitingCall.deadline, queuedAt + maxQueueMs) };
-    for (;;) {
+    for (let putBacks = 0; putBacks <= maxPutBacks; putBacks += 1) {
         const outcome = await tryInSlot(context, call, waiting, queuedAt);
         if (outcome !== undefined) {
             return outcome;
         }
-        // A connection or a long turn took so long that the caller may have left. The call waits for a sign of it.
-        context.telemetry.event("call.callerSilent", "debug", { callId: call.callId });
+        context.telemetry.event("call.putBack", "debug", { callId: call.callId });
     }
+    return Left(refusal(RefusalReason.CallerUnconfirmed));
 }
 
-/** Sends the call once it has a slot. Resolves to `undefined` if its caller has been silent for too long by then. */
+/** Sends the call once it has a slot. Resolves to `undefined` if its caller is not confirmed any more by then. */
 async function tryInSlot(
     context: CallContext,
     call: LocalCall,
@@ -128,7 +133,7 @@
     const { address, connections } = slot.server;
     let unsentRefusal = refusal(RefusalReason.Unreachable);
     let serverRefusal: Refusal | undefined;
-    let isSilent = false;
+    let isUnconfirmed = false;
 
     function mayWrite(): boolean {
         const now = context.now();
@@ -136,8 +141,8 @@
             unsentRefusal = refusal(RefusalReason.DeadlinePassed);
             return false;
         }
-        isSilent = caller !== undefined && isCallerSilent(caller, { now, limitMs: maxSilenceAtSendMs });
-        if (isSilent) {
+        isUnconfirmed = caller !== undefined && !isCallerConfirmed(caller, now);
+        if (isUnconfirmed) {
             return false;
         }
         if (!context.fates.start(call.attemptId, { deadline: call.deadline, readAt: queuedAt })) {
@@ -172,6 +177,8 @@
         headIdleTimeoutMs: 0,
         mayWrite,
         onInformationalResponse: () => undefined,
+        isUpToDate: () => isUpToDate(context, caller),
+        wouldBeOutdated: () => wouldBeOutdated(context, caller),
         onHead(status, raw) {
             silenceTimer?.cancel();
             call.stages.answeredAt = context.now();
@@ -191,15 +198,16 @@
     replaceDeadPool(context, call, slot, { result, startedAt });
     const neverConnected =
         result.end === ExchangeEnd.NeverWritten &&
-        !isSilent &&
+        !isUnconfirmed &&
         unsentRefusal.reason === RefusalReason.Unreachable;
+    if (isUnconfirmed && !call.cancellation.cancelled) {
+        slot.putBack();
+        return undefined;
+    }
     slot.release({ reachable: call.cancellation.cancelled || !neverConnected });
     if (neverConnected) {
         logUnreachable(context, { callId: call.callId, target: slot.server.id, address }, result);
     }
-    if (isSilent && !call.cancellation.cancelled) {
-        return undefined;
-    }
     if (result.end === ExchangeEnd.NeverWritten) {
         return Left(call.cancellation.cancelled ? refusal(RefusalReason.DeadlinePassed) : unsentRefusal);
     }
@@ -279,6 +287,22 @@
     }
 }
 
+/** Whether what is known of the caller is recent enough to send its call. This daemon reads the closes of its own callers. */
+function isUpToDate({ arrivals, now }: CallContext, caller: CallerContact | undefined): boolean {
+    return caller === undefined
+        ? now() - arrivals.lastPoll() <= longTurnMs
+        : isCallerConfirmed(caller, now());
+}
+
+/** Whether the caller is confirmed now, but will not be at the end of a turn as long as the last one. */
+function wouldBeOutdated({ arrivals, now }: CallContext, caller: CallerContact | undefined): boolean {
+    return (
+        caller !== undefined &&
+        isCallerConfirmed(caller, now()) &&
+        !isCallerConfirmed(caller, now() + arrivals.lastTurnMs())
+    );
+}
+
 function logBackendRefusal(
     { telemetry }: CallContext,
     { callId }: LocalCall,
--- a/packages/daemon/src/adapters/calls/pendingEvents.ts
+++ b/packages/daemon/src/adapters/calls/pendingEvents.ts
@@ -1,22 +1,45 @@
 import { performance } from "node:perf_hooks";
 
 /** Time within one turn of the event loop after which its poll counts as outdated, in milliseconds. */
-const longTurnMs = 100;
+export const longTurnMs = 100;
 
 /** Resolves at the end of the current turn of the event loop: after its poll, and before the poll of the next turn. */
 export function endOfTurn(): Promise<void> {
     return new Promise(resolve => void setImmediate(resolve));
 }
 
+export interface PendingEventsOptions {
+    /**
+     * Whether what is known is still recent at the end of the turn.
+     * @default whether the rest of the turn was short
+     */
+    readonly isUpToDate?: () => boolean;
+    /**
+     * Whether what is known now would be outdated at the end of the turn.
+     * @default never
+     */
+    readonly wouldBeOutdated?: () => boolean;
+}
+
 /**
- * Resolves after the events of the current turn of the event loop have been handled, and after one more poll if that took
- * long. After a long turn, the response that frees a slot may be read before the close of the caller that waits for this
- * slot, and during a long turn closes arrive that its poll did not read.
+ * Resolves after the events of the current turn of the event loop have been handled, and after one more poll if what they
+ * told is outdated by then. After a long turn, the response that frees a slot may be read before the close of the caller
+ * that waits for this slot, and during a long turn closes arrive that its poll did not read.
  */
-export async function waitForPendingEvents(): Promise<void> {
-    const startedAt = performance.now();
+export async function waitForPendingEvents({
+    isUpToDate = createTurnCheck(),
+    wouldBeOutdated = () => false,
+}: PendingEventsOptions = {}): Promise<void> {
+    if (wouldBeOutdated()) {
+        return;
+    }
     await endOfTurn();
-    if (performance.now() - startedAt > longTurnMs) {
+    if (!isUpToDate()) {
         await endOfTurn();
     }
 }
+
+function createTurnCheck(): () => boolean {
+    const startedAt = performance.now();
+    return () => performance.now() - startedAt <= longTurnMs;
+}
--- a/packages/daemon/src/adapters/calls/requestBody.ts
+++ b/packages/daemon/src/adapters/calls/requestBody.ts
@@ -20,7 +20,7 @@
 export interface BodyAttempt {
     /** `content-length` (or infinity) while the body may not have been received completely; otherwise 0. */
     readonly pendingBytes: number;
-    /** The body as a stream or in one piece; `null` if there is none. Read once per attempt. */
+    /** The body as a stream or in one piece; `null` if there is none. Each read starts from the first byte. */
     readonly payload: AsyncIterable<Buffer> | Buffer | null;
     /** Receives the whole body, so that `payload` is in one piece. A read error is reported when the body is sent. */
     receiveAll(cancellation: Cancellation): Promise<void>;
@@ -148,6 +148,9 @@
         smallBody = isSmall ? buffered : undefined;
     }
 
+    const isEnd = (index: number) =>
+        reader.receivedBytes === declaredBytes && index === retainedChunks.length - 1;
+
     function open(): BodyAttempt {
         if (smallBody !== undefined) {
             return { ...emptyBodyAttempt, payload: smallBody };
@@ -158,9 +161,9 @@
         const committedOrClosed = new Promise<void>(resolve => (resumeSending = resolve));
         let closed = false;
 
-        // While a body is held back, its connection may not be read. A close that stands behind the rest of the body becomes
-        // visible only at the poll after the one that read the end.
-        const confirmCaller = () => committedOrClosed.then(nextPoll);
+        // A close that stands behind a body that was held back becomes visible only at the poll after the one that read the
+        // end. Resolves to whether the attempt was closed meanwhile.
+        const confirmCaller = () => committedOrClosed.then(nextPoll).then(() => closed);
 
         async function* send(): AsyncGenerator<Buffer> {
             let index = 0;
@@ -185,9 +188,8 @@
                     }
                     continue;
                 }
-                const isEnd = reader.receivedBytes === declaredBytes && index === retainedChunks.length - 1;
-                if (isEnd && declaredBytes > eagerBodyBytes) {
-                    await confirmCaller();
+                if (declaredBytes > eagerBodyBytes && isEnd(index) && (await confirmCaller())) {
+                    return;
                 }
                 index += 1;
                 sentBytes += chunk.length;
