fix(calls): state the age of the last poll, not that of the one before

Since calls of other entry daemons wait for a recent sign of their callers, callers of a daemon whose turns take 150 ms got no answer at all: 20 patient clients had 0 calls served in 3 s, 40 on (a1 busy, four slots). Each hop and each answer to a probe stated an age of 300 ms and more.

The estimate of arrivals needs two turns in a row. It recorded a turn only with a clock tick or a request, so that in turns of 80 ms "the turn before" was up to 326 ms ago, and what was stated at the end of a turn named the poll before it.

A long turn is now followed by a record of the next one, which ends with the first short turn, and a wait for the next poll tells what that poll came after, so that the age is exact to the turn. It is still never below the truth, and the limits of 300 and 450 ms are the same.

The new scenario counted 0 before. All 26 scenarios on clients that have left pass.

--- a/features/hosts.feature
+++ b/features/hosts.feature
@@ -162,6 +162,12 @@
         When a client of "a1" waits 900 ms for the only slot
         Then it is served after "a2" has asked the entry daemon
 
+    # Guards against calls whose callers seem to be silent because the turns of their entry daemon are long.
+    Scenario: Calls are served while the turns of their entry daemon are long
+        Given daemon processes "a1,a2" that can be made busy for 3000 ms with turns of 150 ms, and a backend server with 4 slots at "a2"
+        When "a1" are busy and 20 patient clients call "a1" on kept connections again and again for 2800 ms
+        Then at least 20 calls were served meanwhile
+
     # Guards against a call that is written at the end of a long turn in which the close of its client arrived.
     @not-run-is-true
     Scenario Outline: A call that gets its slot in a long turn is not forwarded when its client leaves during that turn
--- a/features/steps/abandonedCalls.ts
+++ b/features/steps/abandonedCalls.ts
@@ -32,7 +32,7 @@
 );
 
 Given(
-    "daemon processes {string} that can be made busy for {int} ms with turns of {int} ms, and a backend server with {int} slot at {string}",
+    "daemon processes {string} that can be made busy for {int} ms with turns of {int} ms, and a backend server with {int} slot(s) at {string}",
     { timeout: scenarioMs },
     function (
         this: World,
@@ -301,6 +301,46 @@
     assert.match(await response.text(), /tanagertray_events_total\{event="call.entryProbed"\} [1-9]/);
 });
 
+/** Time for which each of many calls occupies its slot, in milliseconds. */
+const manyCallsWorkMs = 20;
+
+When(
+    "{string} are busy and {int} patient clients call {string} on kept connections again and again for {int} ms",
+    { timeout: scenarioMs },
+    async function (this: World, busy: string, count: number, name: string, forMs: number) {
+        const entry = hostNamed(this, name);
+        const agent = new Agent({ keepAlive: true, maxSockets: count });
+        const callAll = (prefix: string) =>
+            Promise.all(
+                Array.from({ length: count }, (_, index) =>
+                    call(this, entry, { id: `${prefix}${index}`, ...patientClient, agent }),
+                ),
+            );
+        assert.deepEqual(await callAll("opens"), Array(count).fill(200));
+        this.server?.setFaults({ workMs: manyCallsWorkMs });
+        busy.split(",").forEach(host => hostNamed(this, host).child.kill("SIGUSR2"));
+        await sleep(signalMs);
+        const end = performance.now() + forMs;
+        this.servedCount = 0;
+        const callAgain = async (client: number) => {
+            for (let round = 0; performance.now() < end; round += 1) {
+                const status = await call(this, entry, {
+                    id: `c${client}-${round}`,
+                    ...patientClient,
+                    agent,
+                });
+                this.servedCount += status === 200 && performance.now() < end ? 1 : 0;
+            }
+        };
+        await Promise.all(Array.from({ length: count }, (_, client) => callAgain(client)));
+        agent.destroy();
+    },
+);
+
+Then("at least {int} calls were served meanwhile", function (this: World, count: number) {
+    assert.ok(this.servedCount >= count, `only ${this.servedCount} calls were served`);
+});
+
 Then("a patient client of {string} is served", { timeout: scenarioMs }, async function (this: World, name) {
     assert.equal(await call(this, hostNamed(this, name), { id: "last", ...patientClient }), 200);
 });
--- a/features/steps/abandoningClients.ts
+++ b/features/steps/abandoningClients.ts
@@ -12,6 +12,8 @@
     clientLeftAt: Map<string, number>;
     /** Status that the last client received. */
     status: number;
+    /** Number of calls that were served in a period. */
+    servedCount: number;
 }
 
 export const scenarioMs = 40_000;
--- a/packages/daemon/src/adapters/calls/arrivals.ts
+++ b/packages/daemon/src/adapters/calls/arrivals.ts
@@ -3,7 +3,7 @@
 import type { Board } from "../../board.js";
 import type { Closeable } from "../../closeable.js";
 import { steadyNow } from "../../steadyClock.js";
-import { endOfTurn } from "./pendingEvents.js";
+import { waitForNextPoll, type AwaitedPoll } from "./pendingEvents.js";
 
 /** Estimates when requests arrived, which may have waited in the socket buffers before they were read. */
 export interface Arrivals extends Closeable {
@@ -14,7 +14,7 @@
     /** Earliest possible arrival of anything else that is read now, such as the end of a connection. */
     lastPoll(): number;
     /** Resolves after the next poll of all sockets. */
-    nextPoll(): Promise<void>;
+    nextPoll(): Promise<AwaitedPoll>;
 }
 
 /** Measurements and hooks of the event loop. */
@@ -59,6 +59,13 @@
 const maxAcceptWaitMs = 1_000;
 /** Idle times below this are measurement noise, in milliseconds. */
 const minIdleMs = 0.5;
+/** Work between two recorded turns from which on the next turn is recorded, too, in milliseconds. */
+const longTurnMs = 10;
+
+/** Time between the ends of two turns that was not spent waiting for events, in milliseconds. */
+function workMs(from: Turn, to: Turn): number {
+    return to.endedAt - from.endedAt - (to.idleMs - from.idleMs);
+}
 
 /** Connections that a listener accepted in consecutive turns, without an idle wait between them. */
 interface AcceptBurst {
@@ -104,6 +111,11 @@
             isTurnEndScheduled = false;
             previousTurn = lastTurn;
             lastTurn = readTurn();
+            // Arrivals are estimated from two turns in a row. The ticks of the clock come too seldom for that while turns
+            // are long, and a loop with so much to do does not wait. This ends with the first short turn.
+            if (workMs(previousTurn, lastTurn) >= longTurnMs) {
+                scheduleTurnEnd();
+            }
         });
     }
 
@@ -152,7 +164,7 @@
             return wasSentWithConnection ? Math.min(connection.earliestArrival, polledAt) : polledAt;
         },
         lastPoll,
-        nextPoll: () => endOfTurn().then(endOfTurn),
+        nextPoll: waitForNextPoll,
         close: () => subscription.close(),
     };
 }
--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -218,7 +218,7 @@
         method: call.method,
         path: call.url,
         headers: hopHeaders(context, attempt),
-        lateHeaders: () => encodePollAge(context),
+        lateHeaders: poll => encodePollAge(context, poll),
         body: body.payload,
         cancellation: attempt.cancellation,
         timers: context.timers,
--- a/packages/daemon/src/adapters/calls/entryContacts.ts
+++ b/packages/daemon/src/adapters/calls/entryContacts.ts
@@ -148,7 +148,7 @@
     response: ServerResponse,
 ): Promise<void> {
     const id = String(request.headers[attemptHeader]);
-    await context.arrivals.nextPoll();
+    const poll = await context.arrivals.nextPoll();
     const echoedId = probeIdPattern.test(id) ? [attemptHeader, id] : [];
-    response.writeHead(probeStatus, [...echoedId, ...encodePollAge(context)]).end();
+    response.writeHead(probeStatus, [...echoedId, ...encodePollAge(context, poll)]).end();
 }
--- a/packages/daemon/src/adapters/calls/exchange.ts
+++ b/packages/daemon/src/adapters/calls/exchange.ts
@@ -4,7 +4,7 @@
 import { canCarry, type Connection, type TrackedDispatchOptions } from "./connections.js";
 import { maxBytesWithoutBody, maxRefusalBytes, maxResponseBytes, refusalBodyTimeoutMs } from "./constants.js";
 import { headerValues } from "./headers.js";
-import { waitForPendingEvents } from "./pendingEvents.js";
+import { waitForPendingEvents, type AwaitedPoll } from "./pendingEvents.js";
 import type { ConnectionPool } from "./pools.js";
 import { bodilessStatuses, rejectionCauseOf, type ReceivedHead } from "./receivedHead.js";
 import { DispositionKind, type Disposition, type Rejection, type ResponseSink } from "./disposition.js";
@@ -40,7 +40,7 @@
      * Returns further headers once the events of the turn have been read, just before the request is sent.
      * @default none
      */
-    readonly lateHeaders?: () => readonly string[];
+    readonly lateHeaders?: (poll: AwaitedPoll) => readonly string[];
     readonly body: AsyncIterable<Buffer> | Buffer | null;
     /** Ends the exchange early, for example because the caller disconnected or the deadline passed. */
     readonly cancellation: Cancellation;
@@ -68,9 +68,11 @@
 const idleTimeoutError = new Error("no data was received within the idle timeout");
 const unusableConnectionError = new Error("the pooled connection cannot carry this exchange");
 
+type PolledOptions = ExchangeOptions & AwaitedPoll;
+
 /** State of one exchange. */
 interface Exchange {
-    readonly options: ExchangeOptions;
+    readonly options: PolledOptions;
     readonly resolve: (result: ExchangeResult) => void;
     getConnection: () => Connection | undefined;
     /** Set when the first byte is about to be written. */
@@ -107,20 +109,20 @@
 
 /** Sends one request and forwards its response, both with back-pressure. */
 export async function exchange(options: ExchangeOptions): Promise<ExchangeResult> {
-    await waitForPendingEvents();
+    const polledOptions = { ...options, ...(await waitForPendingEvents()) };
     if (options.id !== undefined) {
-        const result = await exchangeOn(options.connections.dispatcher, options);
+        const result = await exchangeOn(options.connections.dispatcher, polledOptions);
         if (result.error !== unusableConnectionError) {
             return result;
         }
     }
     const singleUse = options.connections.openSingleUse();
-    const result = await exchangeOn(singleUse, options);
+    const result = await exchangeOn(singleUse, polledOptions);
     void singleUse.close();
     return result;
 }
 
-function exchangeOn(dispatcher: Dispatcher, options: ExchangeOptions): Promise<ExchangeResult> {
+function exchangeOn(dispatcher: Dispatcher, options: PolledOptions): Promise<ExchangeResult> {
     return new Promise(resolve => {
         const state: Exchange = {
             options,
@@ -152,7 +154,7 @@
     return {
         method: method as Dispatcher.HttpMethod,
         path,
-        headers: lateHeaders === undefined ? headers : [...headers, ...lateHeaders()],
+        headers: lateHeaders === undefined ? headers : [...headers, ...lateHeaders(state.options)],
         body: body as never,
         headersTimeout: 0,
         bodyTimeout: 0,
--- a/packages/daemon/src/adapters/calls/incoming.ts
+++ b/packages/daemon/src/adapters/calls/incoming.ts
@@ -22,6 +22,7 @@
 import { readRequestHead, type RequestHead } from "./headers.js";
 import { decodeRoute, encodeRoute, routeHeader } from "./hopRoute.js";
 import { matchNative, nativeDialect } from "./nativeDialect.js";
+import type { AwaitedPoll } from "./pendingEvents.js";
 import type { StageTimes } from "./stageTimes.js";
 
 /** A request whose head is valid and matches an operation of the configuration. */
@@ -78,9 +79,16 @@
 export const startWithinHeader = "tanagertray-start-ms";
 /** Header with the age of the sender's last poll of its connections, in milliseconds. The HMAC does not cover it. */
 export const pollAgeHeader = "tanagertray-poll-age-ms";
-/** Encodes the age of this daemon's last poll, with which the receiver estimates when a closed connection was noticed. */
-export function encodePollAge({ arrivals, now }: Pick<CallContext, "arrivals" | "now">): readonly string[] {
-    return [pollAgeHeader, String(Math.max(0, Math.ceil(now() - arrivals.lastPoll())))];
+/**
+ * Encodes the age of this daemon's last poll, with which the receiver estimates when a closed connection was noticed. At
+ * the end of a turn, `lastPoll` may still name the poll of the turn before.
+ */
+export function encodePollAge(
+    { arrivals, now }: Pick<CallContext, "arrivals" | "now">,
+    { polledAfter = -Infinity }: AwaitedPoll,
+): readonly string[] {
+    const ageMs = Math.min(now() - arrivals.lastPoll(), performance.now() - polledAfter);
+    return [pollAgeHeader, String(Math.max(0, Math.ceil(ageMs)))];
 }
 
 /** Returns the age in milliseconds; 0 if the header is missing, as in messages of earlier releases, which do not state it. */
--- a/packages/daemon/src/adapters/calls/requestBody.ts
+++ b/packages/daemon/src/adapters/calls/requestBody.ts
@@ -37,7 +37,7 @@
     /** Retains a small body after admission too, because the call may be sent again. */
     readonly repeatable: boolean;
     /** Resolves after the next poll of all connections. */
-    readonly nextPoll: () => Promise<void>;
+    readonly nextPoll: () => Promise<unknown>;
 }
 
 const noBytes = Buffer.alloc(0);
