--- a/features/steps/abandoningClients.ts
+++ b/features/steps/abandoningClients.ts
@@ -14,6 +14,8 @@
     status: number;
     /** Statuses that the patient clients received. */
     statuses: readonly number[];
+    /** Number of calls that were served in a period. */
+    servedCount: number;
 }
 
 export const scenarioMs = 40_000;
--- a/packages/daemon/src/adapters/calls/incoming.ts
+++ b/packages/daemon/src/adapters/calls/incoming.ts
@@ -22,6 +22,7 @@
 import { readRequestHead, type RequestHead } from "./headers.js";
 import { decodeRoute, encodeRoute, routeHeader } from "./hopRoute.js";
 import { matchNative, nativeDialect } from "./nativeDialect.js";
+import { awaitedPollAgeMs } from "./pendingEvents.js";
 import type { StageTimes } from "./stageTimes.js";
 
 /** A request whose head is valid and matches an operation of the configuration. */
@@ -78,9 +79,12 @@
 export const startWithinHeader = "tanagertray-start-ms";
 /** Header with the age of the sender's last poll of its connections, in milliseconds. The HMAC does not cover it. */
 export const pollAgeHeader = "tanagertray-poll-age-ms";
-/** Returns the age of this daemon's last poll, in milliseconds. The closes that it read have been acted on. */
+/**
+ * Returns the age of this daemon's last poll, in milliseconds. The closes that it read have been acted on. At the end of a
+ * turn, `lastPoll` may still name the poll of the turn before.
+ */
 export function pollAgeMs({ arrivals, now }: Pick<CallContext, "arrivals" | "now">): number {
-    return Math.max(0, Math.ceil(now() - arrivals.lastPoll()));
+    return Math.max(0, Math.ceil(Math.min(now() - arrivals.lastPoll(), awaitedPollAgeMs())));
 }
 
 /**
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -18,7 +18,7 @@
 import { ResponseClass } from "./dialect.js";
 import { exchange, ExchangeEnd, type ExchangeResult } from "./exchange.js";
 import { headerValue } from "./headers.js";
-import { deadlinePassed } from "./incoming.js";
+import { deadlinePassed, pollAgeMs } from "./incoming.js";
 import { longTurnMs } from "./pendingEvents.js";
 import type { StageTimes } from "./stageTimes.js";
 import type { Timer } from "./timers.js";
@@ -290,7 +290,7 @@
 /** Whether what is known of the caller is recent enough to send its call. This daemon reads the closes of its own callers. */
 function isUpToDate({ arrivals, now }: CallContext, caller: CallerContact | undefined): boolean {
     return caller === undefined
-        ? now() - arrivals.lastPoll() <= longTurnMs
+        ? pollAgeMs({ arrivals, now }) <= longTurnMs
         : isCallerConfirmed(caller, now());
 }
 
--- a/packages/daemon/src/adapters/calls/pendingEvents.ts
+++ b/packages/daemon/src/adapters/calls/pendingEvents.ts
@@ -3,11 +3,31 @@
 /** Time within one turn of the event loop after which its poll counts as outdated, in milliseconds. */
 export const longTurnMs = 100;
 
+/** Time that the last awaited poll came after, in milliseconds of `performance.now()`. */
+let lastPollAfter = -Infinity;
+
 /** Resolves at the end of the current turn of the event loop: after its poll, and before the poll of the next turn. */
 export function endOfTurn(): Promise<void> {
     return new Promise(resolve => void setImmediate(resolve));
 }
 
+/** Resolves after the next poll of all sockets, when its events have been handled. */
+export async function waitForNextPoll(): Promise<void> {
+    await endOfTurn();
+    await endOfNextTurn();
+}
+
+async function endOfNextTurn(): Promise<void> {
+    const endedAt = performance.now();
+    await endOfTurn();
+    lastPollAfter = Math.max(lastPollAfter, endedAt);
+}
+
+/** Returns an upper bound of the age of the last awaited poll whose events have been handled, in milliseconds. */
+export function awaitedPollAgeMs(): number {
+    return performance.now() - lastPollAfter;
+}
+
 export interface PendingEventsOptions {
     /**
      * Whether what is known is still recent at the end of the turn.
@@ -35,7 +55,7 @@
     }
     await endOfTurn();
     if (!isUpToDate()) {
-        await endOfTurn();
+        await endOfNextTurn();
     }
 }
 
