fix(peers): bound the silence of a handshake, not the whole of it

Cause: a handshake had 2 s from connecting to the first message after the proof, measured at a tick of the clock, and connecting had a timer of the WebSocket library of 2 s. Both run before the sockets are polled. A host that is short of processor time reads each of the three messages of a handshake a turn late, so with turns over 0.7 s it never got a link, and with turns over 2 s it gave up on answers that waited in its own socket buffer. Its neighbours gave up and dialed again meanwhile.

Change: a handshake ends after 2 s without a message (3 s where this host dialed, as on an open link), and only at a tick before which the sockets have been polled since. The peer adapter alone bounds connecting. The emulated fleet has hosts whose event loop runs in long turns.

An accepted connection that sends its hello and nothing more now takes a place among the pending handshakes for 4 s instead of 2 s.

--- a/packages/daemon/features/fleetStart.feature
+++ b/packages/daemon/features/fleetStart.feature
@@ -55,6 +55,40 @@
         And all hosts lose their power at 14 s and restart at 15 s
         Then all hosts are ready within 3 s and know each other within 4 s of the restart
 
+    # Guards against a handshake that ends at a bound for the whole of it, or before the answer in the socket buffer is read:
+    # a host short of processor time never got a link, and so neither the configuration nor its peers' answers.
+    @in-force-everywhere
+    Scenario Outline: A host that restarts with turns of <turn> ms of its event loop gets its links and the next version
+        Given an emulated fleet of 12 hosts that starts at once
+        When the first version is accepted 1.1 s after the start
+        And the last host restarts 14 s after the start with turns of <turn> ms of its event loop
+        Then it is ready and linked to its neighbours within 15 s
+        And a version that is accepted then is in force on it within 6 s
+
+        Examples:
+            | turn |
+            | 300  |
+            | 800  |
+            | 1200 |
+            | 1700 |
+            | 2100 |
+            | 2500 |
+
+    # Guards against the same while the platform does not answer: the host never became ready.
+    @herd-death @store-down
+    Scenario Outline: A host that restarts with turns of <turn> ms becomes ready without the platform
+        Given an emulated fleet of 12 hosts that starts at once
+        When the first version is accepted 1.1 s after the start
+        And the platform no longer answers the last host from 14 s on
+        And the last host restarts 14 s after the start with turns of <turn> ms of its event loop
+        Then it is ready and linked to its neighbours within 15 s
+
+        Examples:
+            | turn |
+            | 800  |
+            | 1200 |
+            | 2500 |
+
     # Guards against faults in series that leave hosts apart, behind, or out of use: kills, losses of power, cut domains, an
     # unreachable platform, new versions. 15 s is the time that a recovery may take.
     Scenario Outline: A fleet is whole again after random faults
--- a/packages/daemon/features/links.feature
+++ b/packages/daemon/features/links.feature
@@ -38,6 +38,12 @@
         And the two peer adapters have run for 8000 ms
         Then each peer adapter opened at most 1 links
 
+    # Guards against an attempt without an end: an address that connects and says nothing would never be dialed again.
+    Scenario: An address that accepts connections and never answers is dialed again
+        Given a peer adapter "a1" whose seed accepts connections and never answers
+        When the peer adapter has run for 9000 ms
+        Then the seed was dialed 2 to 4 times and the peer adapter reported the events "peer.handshakeTimeout"
+
     # Guards against a decoder that throws or accepts a value of the wrong type.
     Scenario: Decoding malformed bytes never throws and never returns an invalid message
         When 4000 mutated peer messages are decoded with a fixed seed
--- a/packages/daemon/features/steps/fleetStart.ts
+++ b/packages/daemon/features/steps/fleetStart.ts
@@ -12,6 +12,8 @@
     /** Virtual time of the common start, in milliseconds. */
     startedAt: number;
     departed: string;
+    /** Host that is short of processor time. */
+    slow: string;
 }
 
 const seed = 7;
@@ -193,3 +195,53 @@
         );
     },
 );
+
+const lastHost = ({ fleet }: World) => fleet.locations.at(-1)?.host ?? "";
+
+When("the platform no longer answers the last host from {int} s on", function (this: World, seconds: number) {
+    const { fleet } = this;
+    fleet.queue.schedule(seconds * 1_000, () => fleet.cutPlatform(({ host }) => host === lastHost(this)));
+});
+
+When(
+    "the last host restarts {int} s after the start with turns of {int} ms of its event loop",
+    { timeout },
+    async function (this: World, seconds: number, turnMs: number) {
+        const { fleet } = this;
+        await fleet.runUntil(seconds * 1_000);
+        this.slow = lastHost(this);
+        this.startedAt = fleet.queue.now();
+        fleet.kill(this.slow);
+        fleet.start(this.slow, { turnMs });
+    },
+);
+
+Then(
+    "it is ready and linked to its neighbours within {int} s",
+    { timeout },
+    async function (this: World, seconds: number) {
+        const { fleet, slow, startedAt } = this;
+        await runUntilHolds(fleet, startedAt + seconds * 1_000, () => {
+            const host = fleet.host(slow);
+            const { neighbours } = host?.board.read("topology") ?? { neighbours: [] };
+            const links = host?.board.read("peerLinks");
+            const isLinked = neighbours.length > 0 && neighbours.every(next => links?.has(next.host));
+            return isLinked && host?.isReady() === true;
+        });
+    },
+);
+
+Then(
+    "a version that is accepted then is in force on it within {int} s",
+    { timeout },
+    async function (this: World, seconds: number) {
+        const { fleet, slow } = this;
+        const next = generateConfiguration(createFleetAnswers(), { version: 2 });
+        fleet.platform.accept(next);
+        await runUntilHolds(
+            fleet,
+            fleet.queue.now() + seconds * 1_000,
+            () => fleet.host(slow)?.board.read("configuration").held?.manifest.version === 2,
+        );
+    },
+);
--- a/packages/daemon/src/adapters/peers/constants.ts
+++ b/packages/daemon/src/adapters/peers/constants.ts
@@ -3,7 +3,9 @@
 export const heartbeatIntervalMs = 1_000;
 /** Time without a message after which a link is closed, and then opened again. */
 export const heartbeatTimeoutMs = 3_000;
-/** Limit for the whole handshake, from connecting to the proof. */
+/** Time without a message from the other side after which the dialer gives up connecting or the handshake. */
+export const dialTimeoutMs = heartbeatTimeoutMs;
+/** The same for the acceptor. Shorter, because anyone who connects takes one of `maxPendingHandshakes`. */
 export const handshakeTimeoutMs = 2_000;
 /** Delay before the first retry of a connection; doubles with each failure. */
 export const minBackoffMs = 200;
--- a/packages/daemon/src/adapters/peers/context.ts
+++ b/packages/daemon/src/adapters/peers/context.ts
@@ -39,6 +39,8 @@
         traffic: createTrafficCounter(),
         pendingMessages: createPendingMessages(),
         lastHeartbeatAt: 0,
+        /** Time of the tick of the clock before the current one, in milliseconds since the epoch. */
+        lastTickAt: board.read("clock").now,
         closing: false,
         /** Set on shutdown to resolve the wait for the last connection to close. */
         onLastConnectionClosed: () => {},
--- a/packages/daemon/src/adapters/peers/link.ts
+++ b/packages/daemon/src/adapters/peers/link.ts
@@ -43,9 +43,9 @@
     readonly role: Role;
     /** Address that this host dialed; `undefined` for an accepted link. */
     readonly dialedAddress: string | undefined;
-    readonly startedAt: number;
     phase: LinkPhase;
     openedAt: number;
+    /** Time of the last message read, of a handshake or later; before the first one, of the start. */
     heardAt: number;
     /** Set once the other side has sent its identity; verified once the phase is `open`. */
     peer: Identity | undefined;
@@ -95,7 +95,6 @@
     const link: Link = {
         role,
         dialedAddress,
-        startedAt: now(),
         phase: role === Role.Dialer ? LinkPhase.AwaitingChallenge : LinkPhase.AwaitingHello,
         openedAt: 0,
         heardAt: now(),
@@ -127,13 +126,18 @@
         malformedCount: 0,
     };
     socket.listen({
-        onOpen: () =>
+        onOpen() {
+            link.heardAt = now();
             sendHandshake(context, {
                 kind: HandshakeKind.Hello,
                 identity: options.self,
                 nonce: context.nonce,
-            }),
-        onFrame: frame => frameHandlers[link.phase](context, frame),
+            });
+        },
+        onFrame(frame) {
+            link.heardAt = now();
+            frameHandlers[link.phase](context, frame);
+        },
         onTooLarge: () =>
             options.onProblem(link, malformedMessage(`message is larger than ${maxMessageBytes} bytes`)),
         onClose() {
@@ -228,7 +232,6 @@
                 openLink(context);
             }
             if (link.phase === LinkPhase.Open) {
-                link.heardAt = options.now();
                 options.onMessage(link, message, frame.length);
             }
         },
@@ -243,7 +246,6 @@
     }
     link.phase = LinkPhase.Open;
     link.openedAt = options.now();
-    link.heardAt = options.now();
 }
 
 function handleMalformed(context: LinkContext, fault: Problem): void {
--- a/packages/daemon/src/adapters/peers/peers.ts
+++ b/packages/daemon/src/adapters/peers/peers.ts
@@ -11,6 +11,7 @@
 import { findCandidateAddresses } from "./candidateAddresses.js";
 import { encodeFrame } from "./codec.js";
 import {
+    dialTimeoutMs,
     handshakeTimeoutMs,
     heartbeatIntervalMs,
     heartbeatTimeoutMs,
@@ -39,6 +40,10 @@
 
 /** Time allowed for the peers to answer the close frames on shutdown, in milliseconds. */
 const closeTimeoutMs = 500;
+const handshakeTimeoutsMs = {
+    [Role.Dialer]: dialTimeoutMs,
+    [Role.Acceptor]: handshakeTimeoutMs,
+} satisfies Record<Role, number>;
 
 /**
  * Maintains the links to other daemons. Sends the messages in the outbox feeds and appends received ones to the inbox.
@@ -170,12 +175,13 @@
 function tick(context: Context): void {
     const { now, pausedForMs } = context.board.read("clock");
     for (const link of context.connections) {
-        if (pausedForMs > heartbeatIntervalMs) {
+        if (pausedForMs > heartbeatIntervalMs && link.phase === LinkPhase.Open) {
             // Messages received during a pause of the process have not been read yet.
             link.heardAt = Math.min(now, link.heardAt + pausedForMs);
         }
         closeExpiredLink(context, link, now);
     }
+    context.lastTickAt = now;
     if (now - context.lastHeartbeatAt >= heartbeatIntervalMs) {
         context.lastHeartbeatAt = now;
         const frame = encodeFrame(createHeartbeat(context));
@@ -191,7 +197,8 @@
 
 function closeExpiredLink(context: Context, link: Link, now: number): void {
     if (link.phase !== LinkPhase.Open) {
-        if (now - link.startedAt > handshakeTimeoutMs) {
+        // What had arrived by the last tick has been read since. Ticks come before the sockets are polled.
+        if (context.lastTickAt - link.heardAt > handshakeTimeoutsMs[link.role]) {
             appendEvent(context, "peer.handshakeTimeout", EventLevel.Warn, link, {});
             link.terminate();
         }
--- a/packages/daemon/src/adapters/peers/webSocketTransport.ts
+++ b/packages/daemon/src/adapters/peers/webSocketTransport.ts
@@ -1,12 +1,7 @@
 import type { IncomingMessage, Server } from "node:http";
 import type { Duplex } from "node:stream";
 import { WebSocket, WebSocketServer } from "ws";
-import {
-    compressionLevel,
-    compressionThresholdBytes,
-    handshakeTimeoutMs,
-    maxMessageBytes,
-} from "./constants.js";
+import { compressionLevel, compressionThresholdBytes, maxMessageBytes } from "./constants.js";
 import type { PeerSocket, PeerTransport } from "./transport.js";
 
 const socketOptions = {
@@ -34,13 +29,8 @@
  */
 export function createWebSocketTransport(server: Server): PeerTransport {
     return {
-        dial: (address, path) =>
-            createWebSocketPeer(
-                new WebSocket(`ws://${address}${path}`, {
-                    ...socketOptions,
-                    handshakeTimeout: handshakeTimeoutMs,
-                }),
-            ),
+        // The peer adapter bounds the time to connect. A timer here would end it before an answer that has arrived is read.
+        dial: (address, path) => createWebSocketPeer(new WebSocket(`ws://${address}${path}`, socketOptions)),
         accept({ refusalReason, onRefused, onAccepted }) {
             const webSocketServer = new WebSocketServer({ noServer: true, ...socketOptions });
             const handleUpgrade = (request: IncomingMessage, socket: Duplex, head: Buffer) => {
--- a/packages/standin/src/fleet/emulatedFleet.ts
+++ b/packages/standin/src/fleet/emulatedFleet.ts
@@ -28,6 +28,9 @@
     readonly onEvent?: (host: string, event: Event) => void;
 }
 
+/** Time from the timers of a turn of the event loop to its poll, in milliseconds. */
+const pollDelayMs = 0.001;
+
 /** Messages and bytes that all hosts sent, of one kind, by whether they crossed regions. */
 export interface SentTraffic {
     readonly sameRegion: ReadonlyMap<string, KindTraffic>;
@@ -42,7 +45,8 @@
     readonly locations: readonly Location[];
     host(name: string): EmulatedHost | undefined;
     hosts(): readonly EmulatedHost[];
-    start(name: string): void;
+    /** Starts a host, with turns of the event loop of `turnMs` milliseconds if it is short of processor time. */
+    start(name: string, options?: { readonly turnMs?: number }): void;
     /** Ends the process of a host; after a loss of power its connections only fall silent. */
     kill(name: string, options?: { readonly isSilent?: boolean }): void;
     /** Cuts the hosts for which the predicate holds off from all others, in both directions; `undefined` heals the cut. */
@@ -77,6 +81,7 @@
         queue,
         network,
         isReachable: (from, to) => isInside === undefined || isInside(from) === isInside(to),
+        readAt: ({ host }, arrivesAt) => readAt(arrivesAt, turnsMs.get(host)),
     });
     const locations = Array.from({ length: options.hosts }, (_, index): Location => {
         const domain = index % domains;
@@ -89,9 +94,16 @@
     });
     const indexes = new Map(locations.map(({ host }, index) => [host, index]));
     const running = new Map<string, EmulatedHost>();
+    /** Lengths of the turns of the event loops of hosts that are short of processor time, in milliseconds. */
+    const turnsMs = new Map<string, number>();
     const ended: EmulatedHost[] = [];
 
-    function start(name: string): void {
+    function start(name: string, { turnMs }: { readonly turnMs?: number } = {}): void {
+        if (turnMs === undefined) {
+            turnsMs.delete(name);
+        } else {
+            turnsMs.set(name, turnMs);
+        }
         const index = indexes.get(name) ?? 0;
         const location = locations[index] as Location;
         const address = `10.${index % domains}.${index >> 8}.${index & 255}:7001`;
@@ -106,6 +118,7 @@
                 transport: connections.createTransport(location, address),
                 platform: platform.createTransport(location),
                 freshnessMs: options.freshnessMs,
+                turnMs,
                 onEvent: event => onEvent(name, event),
             }),
         );
@@ -137,6 +150,11 @@
     };
 }
 
+/** Time at which a packet is read: in the turn of the event loop that follows its arrival, after the timers. */
+function readAt(arrivesAt: number, turnMs: number | undefined): number {
+    return turnMs === undefined ? arrivesAt : Math.ceil(arrivesAt / turnMs) * turnMs + pollDelayMs;
+}
+
 function sumTraffic(hosts: readonly EmulatedHost[]): SentTraffic {
     const sum = { sameRegion: new Map<string, KindTraffic>(), crossRegion: new Map<string, KindTraffic>() };
     for (const { board } of hosts) {
--- a/packages/standin/src/fleet/emulatedHost.ts
+++ b/packages/standin/src/fleet/emulatedHost.ts
@@ -54,13 +54,20 @@
      * @default the default of the settings, with a delay of 3 s
      */
     readonly freshnessMs?: number | undefined;
+    /**
+     * Length of each turn of the event loop, in milliseconds, if the host is short of processor time. Turns begin at the
+     * multiples of it, each with the tick of the clock that became due in the one before.
+     * @default turns that take no time
+     */
+    readonly turnMs?: number | undefined;
     /** @default () => undefined */
     readonly onEvent?: (event: Event) => void;
 }
 
 /** Starts the product's controllers, its platform client and its peer adapter on a virtual clock. */
 export function startEmulatedHost(options: EmulatedHostOptions): EmulatedHost {
-    const { location, address, service, queue, random, onEvent = () => undefined, freshnessMs } = options;
+    const { location, address, service, queue, random, freshnessMs, turnMs } = options;
+    const { onEvent = () => undefined } = options;
     const settings = resolveSettings({
         ...location,
         listen: { calls: "127.0.0.1:1", peer: address, admin: "127.0.0.1:1" },
@@ -120,7 +127,10 @@
         });
     }
 
-    repeat(random() * tickMs, tickMs, () => clock.write({ now: now(), pausedForMs: 0 }));
+    const tickPeriodMs = turnMs ?? tickMs;
+    const firstTickMs = turnMs === undefined ? random() * tickMs : turnMs - (queue.now() % turnMs);
+    const pausedForMs = tickPeriodMs - tickMs;
+    repeat(firstTickMs, tickPeriodMs, () => clock.write({ now: now(), pausedForMs }));
     repeat(random() * announcementMs, announcementMs, announce);
     return {
         location,
--- a/packages/standin/src/fleet/emulatedTransport.ts
+++ b/packages/standin/src/fleet/emulatedTransport.ts
@@ -32,6 +32,11 @@
      * @default () => true
      */
     readonly isReachable?: (from: Location, to: Location) => boolean;
+    /**
+     * Time at which a host reads a packet that arrives at the given time.
+     * @default the time of arrival
+     */
+    readonly readAt?: (to: Location, arrivesAt: number) => number;
 }
 
 interface End {
@@ -53,7 +58,7 @@
  * ```
  */
 export function createEmulatedConnections(options: EmulatedConnectionsOptions): EmulatedConnections {
-    const { queue, network, isReachable = () => true } = options;
+    const { queue, network, isReachable = () => true, readAt = (_to, arrivesAt) => arrivesAt } = options;
     const listeners = new Map<string, { readonly location: Location; readonly acceptance: PeerAcceptance }>();
     const endsByAddress = new Map<string, Set<End>>();
     const sizes = new WeakMap<Buffer, number>();
@@ -65,10 +70,10 @@
         return end;
     }
 
-    /** Runs the callback when a packet of the size arrives, unless it is lost. */
+    /** Runs the callback when a packet of the size is read, unless it is lost. */
     function deliver(from: End, to: Location, bytes: number, run: () => void): void {
         if (isReachable(from.location, to)) {
-            queue.schedule(network.arrival(from.location, to, bytes, queue.now()), run);
+            queue.schedule(readAt(to, network.arrival(from.location, to, bytes, queue.now())), run);
         }
     }
 
