fix(membership): a record read later withdraws no departure of its host

Cause: a daemon kept the departures of the record of a host that it had read last, for 30 s from then, and returned these to the host after a restart. An older record that came later over another link, or the first record of the restarted host, replaced the list; and a record that lasts is not published again, so that after 30 s a departure was forgotten while it went on. The host then used a backend server again whose departure it had acknowledged, if the platform did not return the departure either.

Change: departures are merged by backend server, the latest incarnation counts, each is kept for 30 s and for as long as the latest record of the host holds it; at most 256 of a host. Such a fact does not depend on the order of reading or on the time of it.

Not shown with processes.

--- a/packages/core/src/admission/departures.ts
+++ b/packages/core/src/admission/departures.ts
@@ -57,18 +57,48 @@
         .map(([id, { since, incarnation }]) => ({ id, incarnation: incarnation ?? since }));
 }
 
-/** Departures that another host has published. */
-export interface PeerDepartures {
-    readonly departures: readonly HostDeparture[];
-    /** Time of the last publication, in milliseconds since the epoch by the clock of the host that received it. */
+/** A departure that another host has published. */
+export interface PeerDeparture extends HostDeparture {
+    /** Time at which it was last read in a record, in milliseconds since the epoch by the clock of the reader. */
     readonly heardAt: number;
 }
 
-/** Returns the departures that other hosts published within the retention time. */
+/**
+ * Adds the departures of a host's record to those that it published earlier. Records may be read in any order, and the
+ * first ones of a restarted host lack what it has not asked for yet, so that no record withdraws a departure.
+ *
+ * @returns at most `maxDepartures`, those read last
+ * @example
+ * ```ts
+ * const known = mergePeerDepartures([], [{ id: "s1", incarnation: 5 }], 1_000);
+ * mergePeerDepartures(known, [{ id: "s2", incarnation: 7 }], 2_000).map(({ id }) => id); // ["s1", "s2"]
+ * ```
+ */
+export function mergePeerDepartures(
+    known: readonly PeerDeparture[],
+    published: readonly HostDeparture[],
+    now: number,
+): readonly PeerDeparture[] {
+    const merged = new Map(known.map(departure => [departure.id, departure]));
+    for (const { id, incarnation } of published) {
+        const latest = Math.max(incarnation, merged.get(id)?.incarnation ?? incarnation);
+        merged.delete(id);
+        merged.set(id, { id, incarnation: latest, heardAt: now });
+    }
+    return [...merged.values()].slice(-maxDepartures);
+}
+
+/** Returns the departures that other hosts published within the retention time, by host. */
 export function recentPeerDepartures(
-    peerDepartures: ReadonlyMap<string, PeerDepartures>,
+    peerDepartures: ReadonlyMap<string, readonly PeerDeparture[]>,
     now: number,
-): ReadonlyMap<string, PeerDepartures> {
-    const recent = [...peerDepartures].filter(([, { heardAt }]) => now - heardAt <= departureRetentionMs);
-    return recent.length === peerDepartures.size ? peerDepartures : new Map(recent);
+): ReadonlyMap<string, readonly PeerDeparture[]> {
+    const isRecent = ({ heardAt }: PeerDeparture) => now - heardAt <= departureRetentionMs;
+    if ([...peerDepartures.values()].every(departures => departures.every(isRecent))) {
+        return peerDepartures;
+    }
+    const recent = [...peerDepartures].map(
+        ([host, departures]) => [host, departures.filter(isRecent)] as const,
+    );
+    return new Map(recent.filter(([, departures]) => departures.length > 0));
 }
--- a/packages/daemon/src/board.ts
+++ b/packages/daemon/src/board.ts
@@ -19,7 +19,7 @@
     type HostRecord,
     type IncomingMessage,
     type OutgoingMessage,
-    type PeerDepartures,
+    type PeerDeparture,
     type PlatformCommand,
     type PlatformReply,
     type Problem,
@@ -175,7 +175,7 @@
     /** Departures of this host's backend servers that the platform stores. */
     departureHistory: Value<DepartureHistory>;
     /** Departures published by other hosts, by host. */
-    peerDepartures: Value<ReadonlyMap<string, PeerDepartures>>;
+    peerDepartures: Value<ReadonlyMap<string, readonly PeerDeparture[]>>;
     /** Hosts that offer each service, by service and tier. */
     targets: Value<ReadonlyMap<string, ServiceTargets>>;
     /** Measurements of other hosts from the calls sent to them, by service and host. */
--- a/packages/daemon/src/controllers/peerDepartures.ts
+++ b/packages/daemon/src/controllers/peerDepartures.ts
@@ -1,4 +1,10 @@
-import { MessageKind, recentPeerDepartures, type HostRecord, type Watermark } from "@tanagertray/core";
+import {
+    mergePeerDepartures,
+    MessageKind,
+    recentPeerDepartures,
+    type HostRecord,
+    type Watermark,
+} from "@tanagertray/core";
 import type { Board } from "../board.js";
 import type { Closeable } from "../closeable.js";
 
@@ -9,16 +15,14 @@
     function storeDepartures(records: readonly HostRecord[]): void {
         const published = records.filter(({ departures }) => departures !== undefined);
         if (published.length > 0) {
-            const heardAt = board.read("clock").now;
-            peerDepartures.update(
-                before =>
-                    new Map([
-                        ...before,
-                        ...published.map(
-                            ({ host, departures = [] }) => [host, { departures, heardAt }] as const,
-                        ),
-                    ]),
-            );
+            const { now } = board.read("clock");
+            peerDepartures.update(before => {
+                const stored = new Map(before);
+                published.forEach(({ host, departures = [] }) =>
+                    stored.set(host, mergePeerDepartures(stored.get(host) ?? [], departures, now)),
+                );
+                return stored;
+            });
         }
     }
 
@@ -41,8 +45,17 @@
     return { close: () => subscriptions.forEach(subscription => subscription.close()) };
 }
 
-/** Departures published by a host, as sent back to it after its restart. */
+/**
+ * Departures published by a host, as sent back to it after its restart: the recent ones, and those in its latest record,
+ * which it does not publish again while they last.
+ */
 export function peerDeparturesOf(board: Board, host: string): Pick<Watermark, "departures"> {
-    const stored = board.read("peerDepartures").get(host);
-    return stored === undefined ? {} : { departures: stored.departures };
+    const { now } = board.read("clock");
+    const recent = board.read("peerDepartures").get(host) ?? [];
+    const lasting = board.read("membership").records.get(host)?.departures ?? [];
+    const departures = mergePeerDepartures(recent, lasting, now).map(({ id, incarnation }) => ({
+        id,
+        incarnation,
+    }));
+    return departures.length === 0 ? {} : { departures };
 }
