fix(peers): count the bytes of an incomplete message as a sign of life

Cause: a link counted as silent from its last complete message. While a large message takes more than 3 s to arrive, on a slow link or one that is full of calls, nothing else arrives: the heartbeats are behind it. The link was closed and the message sent again over the next one, so that a host could not get a configuration at all.

Change: bytes read since the tick before count like a message. Only on an open link, so that nobody holds a handshake open byte by byte.

--- a/packages/daemon/features/links.feature
+++ b/packages/daemon/features/links.feature
@@ -31,6 +31,18 @@
         And the peer link between them stops carrying data while new connections work
         Then the silent link is closed after 3 s and a new one is opened
 
+    # Guards against a link that is closed as silent while a message is on its way over it, as often as it is sent: a host on
+    # a link that is full of calls never got the configuration.
+    @in-force-everywhere
+    Scenario: A link stays open while a message takes longer than 3 s to arrive
+        Given linked daemons "a1" and "a2" that know each other's address
+        When both peer adapters have run until they are linked
+        And the peer link between them carries 10 KB each 100 ms from now on
+        And "a1" sends a part of 600 KB to "a2"
+        Then "a2" has received it within 8 s over the same link
+        When the peer link between them carries nothing any more
+        Then the link is closed after 3 s
+
     # Guards against links that replace each other endlessly because the seeds list one host under two addresses.
     Scenario: Seeds that list one host under two addresses do not replace its link
         Given a peer adapter "a1" whose seeds list "a2" under two addresses
--- a/packages/daemon/src/adapters/peers/link.ts
+++ b/packages/daemon/src/adapters/peers/link.ts
@@ -47,8 +47,12 @@
     openedAt: number;
     /** Time of the last message read, of a handshake or later; before the first one, of the start. */
     heardAt: number;
+    /** Bytes read by the last tick of the clock. */
+    readBytes: number;
     /** Set once the other side has sent its identity; verified once the phase is `open`. */
     peer: Identity | undefined;
+    /** Bytes read so far, which include those of messages that have not arrived in full. */
+    receivedBytes(): number;
     /** Sends an encoded message. Closes the link and returns `false` when too many bytes are unsent. */
     send(frame: Buffer): boolean;
     close(code: CloseCode): void;
@@ -98,7 +102,9 @@
         phase: role === Role.Dialer ? LinkPhase.AwaitingChallenge : LinkPhase.AwaitingHello,
         openedAt: 0,
         heardAt: now(),
+        readBytes: 0,
         peer: undefined,
+        receivedBytes: () => socket.receivedBytes(),
         send(frame) {
             if (!socket.isOpen()) {
                 return false;
--- a/packages/daemon/src/adapters/peers/peers.ts
+++ b/packages/daemon/src/adapters/peers/peers.ts
@@ -175,6 +175,9 @@
 function tick(context: Context): void {
     const { now, pausedForMs } = context.board.read("clock");
     for (const link of context.connections) {
+        if (link.phase === LinkPhase.Open) {
+            noteReceivedBytes(context, link);
+        }
         if (pausedForMs > heartbeatIntervalMs && link.phase === LinkPhase.Open) {
             // Messages received during a pause of the process have not been read yet.
             link.heardAt = Math.min(now, link.heardAt + pausedForMs);
@@ -195,6 +198,15 @@
     dialHosts(context, now);
 }
 
+/** A large message, and the heartbeats behind it, may take long to arrive on a slow or busy link. */
+function noteReceivedBytes({ lastTickAt }: Context, link: Link): void {
+    const receivedBytes = link.receivedBytes();
+    if (receivedBytes > link.readBytes) {
+        link.readBytes = receivedBytes;
+        link.heardAt = Math.max(link.heardAt, lastTickAt);
+    }
+}
+
 function closeExpiredLink(context: Context, link: Link, now: number): void {
     if (link.phase !== LinkPhase.Open) {
         // What had arrived by the last tick has been read since. Ticks come before the sockets are polled.
--- a/packages/daemon/src/adapters/peers/transport.ts
+++ b/packages/daemon/src/adapters/peers/transport.ts
@@ -18,6 +18,8 @@
     isOpen(): boolean;
     /** Bytes that were sent but not yet written to the network. */
     bufferedBytes(): number;
+    /** Bytes read from the network so far, which include those of messages that have not arrived in full. */
+    receivedBytes(): number;
     send(frame: Buffer): void;
     /** Closes the connection with a code, after the frames that were sent. */
     close(code: number): void;
--- a/packages/daemon/src/adapters/peers/webSocketTransport.ts
+++ b/packages/daemon/src/adapters/peers/webSocketTransport.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, Server } from "node:http";
+import { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { WebSocket, WebSocketServer } from "ws";
 import { compressionLevel, compressionThresholdBytes, maxMessageBytes } from "./constants.js";
@@ -30,7 +31,12 @@
 export function createWebSocketTransport(server: Server): PeerTransport {
     return {
         // The peer adapter bounds the time to connect. A timer here would end it before an answer that has arrived is read.
-        dial: (address, path) => createWebSocketPeer(new WebSocket(`ws://${address}${path}`, socketOptions)),
+        dial(address, path) {
+            const webSocket = new WebSocket(`ws://${address}${path}`, socketOptions);
+            let connection: Duplex | undefined;
+            webSocket.once("upgrade", response => (connection = response.socket));
+            return createWebSocketPeer(webSocket, () => connection);
+        },
         accept({ refusalReason, onRefused, onAccepted }) {
             const webSocketServer = new WebSocketServer({ noServer: true, ...socketOptions });
             const handleUpgrade = (request: IncomingMessage, socket: Duplex, head: Buffer) => {
@@ -41,7 +47,7 @@
                     return;
                 }
                 webSocketServer.handleUpgrade(request, socket, head, webSocket =>
-                    onAccepted(createWebSocketPeer(webSocket)),
+                    onAccepted(createWebSocketPeer(webSocket, () => socket)),
                 );
             };
             server.on("upgrade", handleUpgrade);
@@ -50,7 +56,7 @@
     };
 }
 
-function createWebSocketPeer(socket: WebSocket): PeerSocket {
+function createWebSocketPeer(socket: WebSocket, connection: () => Duplex | undefined): PeerSocket {
     return {
         listen({ onOpen, onFrame, onTooLarge, onClose }) {
             socket.on("open", onOpen);
@@ -67,6 +73,10 @@
         },
         isOpen: () => socket.readyState === socket.OPEN,
         bufferedBytes: () => socket.bufferedAmount,
+        receivedBytes() {
+            const stream = connection();
+            return stream instanceof Socket ? stream.bytesRead : 0;
+        },
         send: frame => socket.send(frame, { binary: true }, () => undefined),
         close: code => socket.close(code),
         terminate: () => socket.terminate(),
--- a/packages/standin/src/fleet/emulatedTransport.ts
+++ b/packages/standin/src/fleet/emulatedTransport.ts
@@ -44,6 +44,7 @@
     readonly address: string;
     handlers: PeerSocketHandlers | undefined;
     isOpen: boolean;
+    receivedBytes: number;
     /** Tells the other end that this one has closed. */
     notifyClosed: () => void;
 }
@@ -61,10 +62,17 @@
     const { queue, network, isReachable = () => true, readAt = (_to, arrivesAt) => arrivesAt } = options;
     const listeners = new Map<string, { readonly location: Location; readonly acceptance: PeerAcceptance }>();
     const endsByAddress = new Map<string, Set<End>>();
-    const sizes = new WeakMap<Buffer, number>();
+    const sizeOf = createSizes();
 
     function createEnd(location: Location, address: string, isOpen: boolean): End {
-        const end: End = { location, address, handlers: undefined, isOpen, notifyClosed: () => undefined };
+        const end: End = {
+            location,
+            address,
+            handlers: undefined,
+            isOpen,
+            receivedBytes: 0,
+            notifyClosed: () => undefined,
+        };
         const ends = endsByAddress.get(address) ?? new Set();
         endsByAddress.set(address, ends.add(end));
         return end;
@@ -97,9 +105,11 @@
             listen: handlers => (own.handlers = handlers),
             isOpen: () => own.isOpen,
             bufferedBytes: () => 0,
+            receivedBytes: () => own.receivedBytes,
             send: frame =>
                 deliver(own, other.location, sizeOf(frame), () => {
                     if (other.isOpen) {
+                        other.receivedBytes += frame.length;
                         other.handlers?.onFrame(frame);
                     }
                 }),
@@ -108,17 +118,6 @@
         };
     }
 
-    /** Bytes of a frame on the wire. Large ones are compressed, as by the real transport. */
-    function sizeOf(frame: Buffer): number {
-        const known = sizes.get(frame);
-        if (known !== undefined || frame.length < compressionThresholdBytes) {
-            return known ?? frame.length;
-        }
-        const size = deflateRawSync(frame, { level: compressionLevel }).length;
-        sizes.set(frame, size);
-        return size;
-    }
-
     function dial(dialer: End, address: string, path: string): PeerSocket {
         const target = listeners.get(address);
         const acceptor = createEnd(target?.location ?? dialer.location, address, false);
@@ -163,3 +162,17 @@
         },
     };
 }
+
+/** Creates a function that returns the bytes of a frame on the wire. Large ones are compressed, as by the real transport. */
+function createSizes(): (frame: Buffer) => number {
+    const sizes = new WeakMap<Buffer, number>();
+    return frame => {
+        const known = sizes.get(frame);
+        if (known !== undefined || frame.length < compressionThresholdBytes) {
+            return known ?? frame.length;
+        }
+        const size = deflateRawSync(frame, { level: compressionLevel }).length;
+        sizes.set(frame, size);
+        return size;
+    };
+}
