fix(backendServers): keep a departure for 30 s after the last announcement

Cause: a departure was kept for 30 s from its start, or while the backend server announces itself. One that was drained by an operator more than 30 s ago and announced nothing for its lease of 3 s, as while it was paused, was forgotten at once, and its next announcement as serving brought it back.

Change: the 30 s count from when the lease ended, as the constant says.

--- a/packages/core/src/admission/departures.ts
+++ b/packages/core/src/admission/departures.ts
@@ -7,6 +7,8 @@
     readonly since: number;
     /** `undefined` if the backend server had not announced itself before. */
     readonly incarnation: number | undefined;
+    /** Time at which the backend server had stopped announcing itself; `undefined` if it has not done so since the start. */
+    readonly silentSince?: number;
 }
 
 /**
@@ -38,14 +40,18 @@
     return departure !== undefined && incarnation <= (departure.incarnation ?? departure.since);
 }
 
-/** Returns the departures of backend servers that still announce themselves or that began within the retention time. */
+/**
+ * Returns the departures of backend servers that still announce themselves, or that fell silent, or began if they were
+ * silent already, within the retention time.
+ */
 export function recentDepartures(
     departures: ReadonlyMap<string, Departure>,
     announcing: ReadonlyMap<string, unknown>,
     now: number,
 ): ReadonlyMap<string, Departure> {
     const recent = [...departures].filter(
-        ([id, { since }]) => announcing.has(id) || now - since <= departureRetentionMs,
+        ([id, { since, silentSince = since }]) =>
+            announcing.has(id) || now - silentSince <= departureRetentionMs,
     );
     return recent.length === departures.size ? departures : new Map(recent);
 }
--- a/packages/daemon/features/backendServers.feature
+++ b/packages/daemon/features/backendServers.feature
@@ -72,6 +72,18 @@
         When backend server "s1" restarts
         Then backend server "s1" is "serving"
 
+    # Guards against a departure whose retention counts from its start: a drained backend server that was silent for a moment,
+    # as while it was paused, got calls again.
+    @leaving-gets-no-work
+    Scenario: A drain that lasts longer than 30 s outlasts a silence of the backend server
+        When backend server "s1" announces itself at 0 ms
+        And backend server "s1" is drained by command
+        And backend server "s1" announces itself as "serving" each second for 40 s
+        Then no backend servers are known at 43101 ms
+        And no backend servers are known at 45000 ms
+        When backend server "s1" announces itself with counter 100 as "serving"
+        Then backend server "s1" is "draining"
+
     # Guards against a departure that was acknowledged but not stored, because its announcement was not accepted.
     @leaving-gets-no-work
     Scenario Outline: The departure of a backend server is stored although <why>
--- a/packages/daemon/features/steps/backendServers.ts
+++ b/packages/daemon/features/steps/backendServers.ts
@@ -66,6 +66,16 @@
     },
 );
 
+When(
+    "backend server {string} announces itself as {string} each second for {int} s",
+    async function (this: World, id: string, state: Announcement["state"], seconds: number) {
+        for (let second = 1; second <= seconds; second += 1) {
+            assert.deepEqual(await knownServersAt(this, second * 1_000), [id]);
+            await appendEntry(this, announcementOf(id, { counter: second + 1, state }));
+        }
+    },
+);
+
 When("backend server {string} restarts", async function (this: World, id: string) {
     await appendEntry(this, announcementOf(id, { incarnation: 2 }));
 });
--- a/packages/daemon/src/controllers/backendServers.ts
+++ b/packages/daemon/src/controllers/backendServers.ts
@@ -97,7 +97,10 @@
             servers.write(new Map(alive));
             [...current.values()]
                 .filter(server => !hasValidLease(server, now))
-                .forEach(({ id, service }) => warn("backendServer.silent", { id, service }));
+                .forEach(({ id, service }) => {
+                    departures.recordSilence(id);
+                    warn("backendServer.silent", { id, service });
+                });
         }
     }
 
--- a/packages/daemon/src/controllers/departureStore.ts
+++ b/packages/daemon/src/controllers/departureStore.ts
@@ -20,6 +20,8 @@
      * the departure holds even if the announcement itself is not accepted.
      */
     recordDraining(announcement: Announcement, known: BackendServer | undefined): void;
+    /** Keeps the departure of a backend server, if it has one, for the retention time from now on. */
+    recordSilence(id: string): void;
     /** Removes expired departures, except those of backend servers that still announce themselves. */
     removeExpired(announced: ReadonlyMap<string, unknown>): void;
 }
@@ -55,6 +57,12 @@
                 record(id, { since: board.read("clock").now, incarnation });
             }
         },
+        recordSilence(id) {
+            const departure = currentDepartures().get(id);
+            if (departure !== undefined) {
+                record(id, { ...departure, silentSince: board.read("clock").now });
+            }
+        },
         removeExpired(announced) {
             const recent = recentDepartures(currentDepartures(), announced, board.read("clock").now);
             if (recent !== currentDepartures()) {
