fix(peers): allow for a pause once in each silence of a link

Cause: the silence of a link was extended by each gap of over 1 s in the clock, because messages of that time are unread. A host short of processor time takes each of its turns for such a gap, so that with turns over 1.1 s the bound of 3 s had no end.

Change: a pause is allowed for once until the peer is heard again, and a link is closed only when the sockets have been polled since the bound.

--- a/packages/daemon/features/fleetStart.feature
+++ b/packages/daemon/features/fleetStart.feature
@@ -89,6 +89,22 @@
             | 1200 |
             | 2500 |
 
+    # Guards against a bound that each long turn of the event loop moves on: the link was kept for 37 s, or for good.
+    @silent-connection
+    Scenario Outline: A host with turns of <turn> ms of its event loop closes a silent link within <limit> s
+        Given an emulated fleet of 12 hosts that starts at once
+        When the first version is accepted 1.1 s after the start
+        And the last host restarts 14 s after the start with turns of <turn> ms of its event loop
+        Then it is ready and linked to its neighbours within 15 s
+        When a neighbour of it loses its power
+        Then it closes the link to that neighbour within <limit> s
+
+        Examples:
+            | turn | limit |
+            | 300  | 4     |
+            | 1200 | 8     |
+            | 2000 | 10    |
+
     # Guards against faults in series that leave hosts apart, behind, or out of use: kills, losses of power, cut domains, an
     # unreachable platform, new versions. 15 s is the time that a recovery may take.
     Scenario Outline: A fleet is whole again after random faults
--- a/packages/daemon/features/steps/fleetStart.ts
+++ b/packages/daemon/features/steps/fleetStart.ts
@@ -14,6 +14,7 @@
     departed: string;
     /** Host that is short of processor time. */
     slow: string;
+    lost: string;
 }
 
 const seed = 7;
@@ -245,3 +246,24 @@
         );
     },
 );
+
+When("a neighbour of it loses its power", async function (this: World) {
+    const { fleet, slow } = this;
+    // Links that were opened while the host joined are closed by then.
+    await fleet.runUntil(fleet.queue.now() + 10_000);
+    const { neighbours } = fleet.host(slow)?.board.read("topology") ?? { neighbours: [] };
+    this.lost = neighbours[0]?.host ?? "";
+    this.startedAt = fleet.queue.now();
+    fleet.kill(this.lost, { isSilent: true });
+});
+
+Then(
+    "it closes the link to that neighbour within {int} s",
+    { timeout },
+    async function (this: World, seconds: number) {
+        const { fleet, slow, lost, startedAt } = this;
+        const isLinked = () => fleet.host(slow)?.board.read("peerLinks").has(lost) === true;
+        assert.ok(isLinked());
+        await runUntilHolds(fleet, startedAt + seconds * 1_000, () => !isLinked());
+    },
+);
--- a/packages/daemon/src/adapters/peers/link.ts
+++ b/packages/daemon/src/adapters/peers/link.ts
@@ -47,10 +47,14 @@
     openedAt: number;
     /** Time of the last message read, of a handshake or later; before the first one, of the start. */
     heardAt: number;
+    /** Whether `heardAt` allows for a pause of this process since the last message. */
+    allowsForPause: boolean;
     /** Bytes read by the last tick of the clock. */
     readBytes: number;
     /** Set once the other side has sent its identity; verified once the phase is `open`. */
     peer: Identity | undefined;
+    /** Records a sign of life of the other side. */
+    hear(at: number): void;
     /** Bytes read so far, which include those of messages that have not arrived in full. */
     receivedBytes(): number;
     /** Sends an encoded message. Closes the link and returns `false` when too many bytes are unsent. */
@@ -102,8 +106,13 @@
         phase: role === Role.Dialer ? LinkPhase.AwaitingChallenge : LinkPhase.AwaitingHello,
         openedAt: 0,
         heardAt: now(),
+        allowsForPause: false,
         readBytes: 0,
         peer: undefined,
+        hear(at) {
+            link.heardAt = Math.max(link.heardAt, at);
+            link.allowsForPause = false;
+        },
         receivedBytes: () => socket.receivedBytes(),
         send(frame) {
             if (!socket.isOpen()) {
@@ -133,7 +142,7 @@
     };
     socket.listen({
         onOpen() {
-            link.heardAt = now();
+            link.hear(now());
             sendHandshake(context, {
                 kind: HandshakeKind.Hello,
                 identity: options.self,
@@ -141,7 +150,7 @@
             });
         },
         onFrame(frame) {
-            link.heardAt = now();
+            link.hear(now());
             frameHandlers[link.phase](context, frame);
         },
         onTooLarge: () =>
--- a/packages/daemon/src/adapters/peers/peers.ts
+++ b/packages/daemon/src/adapters/peers/peers.ts
@@ -6,7 +6,7 @@
     type PeerMessage,
     type Problem,
 } from "@tanagertray/core";
-import type { Board } from "../../board.js";
+import type { Board, ClockState } from "../../board.js";
 import type { Closeable } from "../../closeable.js";
 import { findCandidateAddresses } from "./candidateAddresses.js";
 import { encodeFrame } from "./codec.js";
@@ -177,10 +177,7 @@
     for (const link of context.connections) {
         if (link.phase === LinkPhase.Open) {
             noteReceivedBytes(context, link);
-        }
-        if (pausedForMs > heartbeatIntervalMs && link.phase === LinkPhase.Open) {
-            // Messages received during a pause of the process have not been read yet.
-            link.heardAt = Math.min(now, link.heardAt + pausedForMs);
+            allowForPause(link, { now, pausedForMs });
         }
         closeExpiredLink(context, link, now);
     }
@@ -203,7 +200,18 @@
     const receivedBytes = link.receivedBytes();
     if (receivedBytes > link.readBytes) {
         link.readBytes = receivedBytes;
-        link.heardAt = Math.max(link.heardAt, lastTickAt);
+        link.hear(lastTickAt);
+    }
+}
+
+/**
+ * What arrived during a pause of the process has not been read yet, and the peer may have been paused, too. Once in each
+ * silence, because a process that is short of processor time takes each of its turns for a pause.
+ */
+function allowForPause(link: Link, { now, pausedForMs }: ClockState): void {
+    if (pausedForMs > heartbeatIntervalMs && !link.allowsForPause) {
+        link.heardAt = Math.min(now, link.heardAt + pausedForMs);
+        link.allowsForPause = true;
     }
 }
 
@@ -216,7 +224,7 @@
         }
         return;
     }
-    if (now - link.heardAt > heartbeatTimeoutMs) {
+    if (context.lastTickAt - link.heardAt > heartbeatTimeoutMs) {
         appendEvent(context, "peer.silent", EventLevel.Warn, link, { silentMs: now - link.heardAt });
         link.terminate();
     } else if (isNotNeeded(context, link, now)) {
