fix(backendServers): end leases and waits only after reading what arrived

Cause: ticks of the clock come before the sockets are polled. After a turn or pause longer than the lease of 3 s, a backend server was dropped while its announcements waited unread: its host published itself without offers, and the server came back as one that had just started. In the same way a restarted host released held announcements 5 s after its start although the departures it waited for had arrived.

Change: both count up to the start of the gap that the tick ends. Admission checks the lease at the time of the call, as before.

--- a/packages/daemon/features/backendServers.feature
+++ b/packages/daemon/features/backendServers.feature
@@ -84,6 +84,26 @@
         When backend server "s1" announces itself with counter 100 as "serving"
         Then backend server "s1" is "draining"
 
+    # Guards against a lease that ends before the announcements of a long turn of the event loop are read: the backend server
+    # was taken out, and came back as one that had just started.
+    @herd-death
+    Scenario: A backend server is not dropped before what arrived during a pause is read
+        When backend server "s1" announces itself at 0 ms
+        Then backend servers "s1" are known at 2000 ms
+        And backend servers "s1" are known at 6000 ms after a pause of 3900 ms
+        And no backend servers are known at 6100 ms
+
+    # Guards against an announcement from before a departure that is applied although the departure has arrived, and waits to
+    # be read.
+    @leaving-gets-no-work @herd-death @lapsed-lease
+    Scenario: A held announcement is not applied before what arrived during a pause is read
+        Given the departures from before the start are not known yet
+        When backend server "s1" announces itself at 0 ms
+        Then no backend servers are known at 1000 ms
+        And no backend servers are known at 7000 ms after a pause of 5900 ms
+        When the departure of backend server "s1" is read
+        Then backend server "s1" is "draining"
+
     # Guards against a departure that was acknowledged but not stored, because its announcement was not accepted.
     @leaving-gets-no-work
     Scenario Outline: The departure of a backend server is stored although <why>
--- a/packages/daemon/features/steps/backendServers.ts
+++ b/packages/daemon/features/steps/backendServers.ts
@@ -5,6 +5,7 @@
     type DrainCommand,
     type Event,
     type FeedWriter,
+    type HostDeparture,
     type ValueWriter,
 } from "@tanagertray/core";
 import { createBoard, type Board, type ClockState } from "@tanagertray/daemon/board";
@@ -18,6 +19,7 @@
     announcements: FeedWriter<Announcement | DrainCommand>;
     clock: ValueWriter<ClockState>;
     events: Event[];
+    readDepartures: (departures: readonly HostDeparture[]) => void;
 }
 
 const boardOf = (world: World) => world.serverBoard as Board;
@@ -114,8 +116,8 @@
     }
 });
 
-async function knownServersAt(world: World, now: number): Promise<readonly string[]> {
-    world.clock.write({ now, pausedForMs: 0 });
+async function knownServersAt(world: World, now: number, pausedForMs = 0): Promise<readonly string[]> {
+    world.clock.write({ now, pausedForMs });
     await setImmediate();
     return [...boardOf(world).read("backendServers").keys()];
 }
@@ -128,6 +130,31 @@
     assert.deepEqual(await knownServersAt(this, now), []);
 });
 
+Then(
+    "backend servers {string} are known at {int} ms after a pause of {int} ms",
+    async function (this: World, id: string, now: number, pausedForMs: number) {
+        assert.deepEqual(await knownServersAt(this, now, pausedForMs), [id]);
+    },
+);
+
+Then(
+    "no backend servers are known at {int} ms after a pause of {int} ms",
+    async function (this: World, now: number, pausedForMs: number) {
+        assert.deepEqual(await knownServersAt(this, now, pausedForMs), []);
+    },
+);
+
+Given("the departures from before the start are not known yet", function (this: World) {
+    const history = boardOf(this).claimValue("departureHistory");
+    history.write({ isRead: false, departures: [], storedKeys: new Set() });
+    this.readDepartures = departures => history.write({ isRead: true, departures, storedKeys: new Set() });
+});
+
+When("the departure of backend server {string} is read", async function (this: World, id: string) {
+    this.readDepartures([{ id, incarnation: 1 }]);
+    await setImmediate();
+});
+
 Then("backend server {string} is {string}", function (this: World, id: string, state: string) {
     assert.equal(boardOf(this).read("backendServers").get(id)?.state, state);
 });
--- a/packages/daemon/src/controllers/backendServers.ts
+++ b/packages/daemon/src/controllers/backendServers.ts
@@ -89,14 +89,16 @@
 
     function dropExpired(): void {
         held.release();
-        const { now } = board.read("clock");
+        const { now, pausedForMs } = board.read("clock");
         const current = board.read("backendServers");
         departures.removeExpired(current);
-        const alive = [...current].filter(([, server]) => hasValidLease(server, now));
+        // Announcements that arrived during a pause of the process are read after this tick.
+        const readUntil = now - pausedForMs;
+        const alive = [...current].filter(([, server]) => hasValidLease(server, readUntil));
         if (alive.length < current.size) {
             servers.write(new Map(alive));
             [...current.values()]
-                .filter(server => !hasValidLease(server, now))
+                .filter(server => !hasValidLease(server, readUntil))
                 .forEach(({ id, service }) => {
                     departures.recordSilence(id);
                     warn("backendServer.silent", { id, service });
--- a/packages/daemon/src/controllers/heldAnnouncements.ts
+++ b/packages/daemon/src/controllers/heldAnnouncements.ts
@@ -33,7 +33,11 @@
     /** Latest announcement of each backend server. */
     const held = new Map<string, Announcement>();
 
-    const ageMs = () => board.read("clock").now - startedAt;
+    /** Time from the start until this host has read what arrived. What arrived during a pause is read after the tick. */
+    function ageMs(): number {
+        const { now, pausedForMs } = board.read("clock");
+        return now - pausedForMs - startedAt;
+    }
     const isRead = () => board.read("departureHistory").isRead;
     const mayApply = () => isRead() || ageMs() >= maxAnnouncementDelayMs;
 
