--- a/packages/daemon/src/adapters/peers/link.ts
+++ b/packages/daemon/src/adapters/peers/link.ts
@@ -43,12 +43,20 @@
     readonly role: Role;
     /** Address that this host dialed; `undefined` for an accepted link. */
     readonly dialedAddress: string | undefined;
-    readonly startedAt: number;
     phase: LinkPhase;
     openedAt: number;
+    /** Time of the last message read, of a handshake or later; before the first one, of the start. */
     heardAt: number;
+    /** Whether `heardAt` allows for a pause of this process since the last message. */
+    allowsForPause: boolean;
+    /** Bytes read by the last tick of the clock. */
+    readBytes: number;
     /** Set once the other side has sent its identity; verified once the phase is `open`. */
     peer: Identity | undefined;
+    /** Records a sign of life of the other side. */
+    hear(at: number): void;
+    /** Bytes read so far, which include those of messages that have not arrived in full. */
+    receivedBytes(): number;
     /** Sends an encoded message. Closes the link and returns `false` when too many bytes are unsent. */
     send(frame: Buffer): boolean;
     close(code: CloseCode): void;
@@ -95,11 +103,17 @@
     const link: Link = {
         role,
         dialedAddress,
-        startedAt: now(),
         phase: role === Role.Dialer ? LinkPhase.AwaitingChallenge : LinkPhase.AwaitingHello,
         openedAt: 0,
         heardAt: now(),
+        allowsForPause: false,
+        readBytes: 0,
         peer: undefined,
+        hear(at) {
+            link.heardAt = Math.max(link.heardAt, at);
+            link.allowsForPause = false;
+        },
+        receivedBytes: () => socket.receivedBytes(),
         send(frame) {
             if (!socket.isOpen()) {
                 return false;
@@ -127,13 +141,18 @@
         malformedCount: 0,
     };
     socket.listen({
-        onOpen: () =>
+        onOpen() {
+            link.hear(now());
             sendHandshake(context, {
                 kind: HandshakeKind.Hello,
                 identity: options.self,
                 nonce: context.nonce,
-            }),
-        onFrame: frame => frameHandlers[link.phase](context, frame),
+            });
+        },
+        onFrame(frame) {
+            link.hear(now());
+            frameHandlers[link.phase](context, frame);
+        },
         onTooLarge: () =>
             options.onProblem(link, malformedMessage(`message is larger than ${maxMessageBytes} bytes`)),
         onClose() {
@@ -228,7 +247,6 @@
                 openLink(context);
             }
             if (link.phase === LinkPhase.Open) {
-                link.heardAt = options.now();
                 options.onMessage(link, message, frame.length);
             }
         },
@@ -243,7 +261,6 @@
     }
     link.phase = LinkPhase.Open;
     link.openedAt = options.now();
-    link.heardAt = options.now();
 }
 
 function handleMalformed(context: LinkContext, fault: Problem): void {
--- a/packages/daemon/src/adapters/peers/peers.ts
+++ b/packages/daemon/src/adapters/peers/peers.ts
@@ -6,11 +6,12 @@
     type PeerMessage,
     type Problem,
 } from "@tanagertray/core";
-import type { Board } from "../../board.js";
+import type { Board, ClockState } from "../../board.js";
 import type { Closeable } from "../../closeable.js";
 import { findCandidateAddresses } from "./candidateAddresses.js";
 import { encodeFrame } from "./codec.js";
 import {
+    dialTimeoutMs,
     handshakeTimeoutMs,
     heartbeatIntervalMs,
     heartbeatTimeoutMs,
@@ -39,6 +40,10 @@
 
 /** Time allowed for the peers to answer the close frames on shutdown, in milliseconds. */
 const closeTimeoutMs = 500;
+const handshakeTimeoutsMs = {
+    [Role.Dialer]: dialTimeoutMs,
+    [Role.Acceptor]: handshakeTimeoutMs,
+} satisfies Record<Role, number>;
 
 /**
  * Maintains the links to other daemons. Sends the messages in the outbox feeds and appends received ones to the inbox.
@@ -170,12 +175,13 @@
 function tick(context: Context): void {
     const { now, pausedForMs } = context.board.read("clock");
     for (const link of context.connections) {
-        if (pausedForMs > heartbeatIntervalMs) {
-            // Messages received during a pause of the process have not been read yet.
-            link.heardAt = Math.min(now, link.heardAt + pausedForMs);
+        if (link.phase === LinkPhase.Open) {
+            noteReceivedBytes(context, link);
+            allowForPause(link, { now, pausedForMs });
         }
         closeExpiredLink(context, link, now);
     }
+    context.lastTickAt = now;
     if (now - context.lastHeartbeatAt >= heartbeatIntervalMs) {
         context.lastHeartbeatAt = now;
         const frame = encodeFrame(createHeartbeat(context));
@@ -189,15 +195,36 @@
     dialHosts(context, now);
 }
 
+/** A large message, and the heartbeats behind it, may take long to arrive on a slow or busy link. */
+function noteReceivedBytes({ lastTickAt }: Context, link: Link): void {
+    const receivedBytes = link.receivedBytes();
+    if (receivedBytes > link.readBytes) {
+        link.readBytes = receivedBytes;
+        link.hear(lastTickAt);
+    }
+}
+
+/**
+ * What arrived during a pause of the process has not been read yet, and the peer may have been paused, too. Once in each
+ * silence, because a process that is short of processor time takes each of its turns for a pause.
+ */
+function allowForPause(link: Link, { now, pausedForMs }: ClockState): void {
+    if (pausedForMs > heartbeatIntervalMs && !link.allowsForPause) {
+        link.heardAt = Math.min(now, link.heardAt + pausedForMs);
+        link.allowsForPause = true;
+    }
+}
+
 function closeExpiredLink(context: Context, link: Link, now: number): void {
     if (link.phase !== LinkPhase.Open) {
-        if (now - link.startedAt > handshakeTimeoutMs) {
+        // What had arrived by the last tick has been read since. Ticks come before the sockets are polled.
+        if (context.lastTickAt - link.heardAt > handshakeTimeoutsMs[link.role]) {
             appendEvent(context, "peer.handshakeTimeout", EventLevel.Warn, link, {});
             link.terminate();
         }
         return;
     }
-    if (now - link.heardAt > heartbeatTimeoutMs) {
+    if (context.lastTickAt - link.heardAt > heartbeatTimeoutMs) {
         appendEvent(context, "peer.silent", EventLevel.Warn, link, { silentMs: now - link.heardAt });
         link.terminate();
     } else if (isNotNeeded(context, link, now)) {
--- a/packages/daemon/src/board.ts
+++ b/packages/daemon/src/board.ts
@@ -19,7 +19,7 @@
     type HostRecord,
     type IncomingMessage,
     type OutgoingMessage,
-    type PeerDepartures,
+    type PeerDeparture,
     type PlatformCommand,
     type PlatformReply,
     type Problem,
@@ -67,6 +67,8 @@
     readonly staleReads: number;
     /** Time of the last answered read of the head row, in milliseconds since the epoch. */
     readonly headReadAt: number | undefined;
+    /** Time at which that read was sent. */
+    readonly headAskedAt: number | undefined;
     /** Time of the last change of `reachable`, in milliseconds since the epoch. */
     readonly since: number;
 }
@@ -175,7 +177,7 @@
     /** Departures of this host's backend servers that the platform stores. */
     departureHistory: Value<DepartureHistory>;
     /** Departures published by other hosts, by host. */
-    peerDepartures: Value<ReadonlyMap<string, PeerDepartures>>;
+    peerDepartures: Value<ReadonlyMap<string, readonly PeerDeparture[]>>;
     /** Hosts that offer each service, by service and tier. */
     targets: Value<ReadonlyMap<string, ServiceTargets>>;
     /** Measurements of other hosts from the calls sent to them, by service and host. */
@@ -239,6 +241,7 @@
                 reachable: false,
                 headRead: false,
                 headReadAt: undefined,
+                headAskedAt: undefined,
                 since: now,
             },
             configuration: { held: undefined },
--- a/packages/standin/src/fleet/emulatedTransport.ts
+++ b/packages/standin/src/fleet/emulatedTransport.ts
@@ -32,6 +32,11 @@
      * @default () => true
      */
     readonly isReachable?: (from: Location, to: Location) => boolean;
+    /**
+     * Time at which a host reads a packet that arrives at the given time.
+     * @default the time of arrival
+     */
+    readonly readAt?: (to: Location, arrivesAt: number) => number;
 }
 
 interface End {
@@ -39,6 +44,7 @@
     readonly address: string;
     handlers: PeerSocketHandlers | undefined;
     isOpen: boolean;
+    receivedBytes: number;
     /** Tells the other end that this one has closed. */
     notifyClosed: () => void;
 }
@@ -53,22 +59,29 @@
  * ```
  */
 export function createEmulatedConnections(options: EmulatedConnectionsOptions): EmulatedConnections {
-    const { queue, network, isReachable = () => true } = options;
+    const { queue, network, isReachable = () => true, readAt = (_to, arrivesAt) => arrivesAt } = options;
     const listeners = new Map<string, { readonly location: Location; readonly acceptance: PeerAcceptance }>();
     const endsByAddress = new Map<string, Set<End>>();
-    const sizes = new WeakMap<Buffer, number>();
+    const sizeOf = createSizes();
 
     function createEnd(location: Location, address: string, isOpen: boolean): End {
-        const end: End = { location, address, handlers: undefined, isOpen, notifyClosed: () => undefined };
+        const end: End = {
+            location,
+            address,
+            handlers: undefined,
+            isOpen,
+            receivedBytes: 0,
+            notifyClosed: () => undefined,
+        };
         const ends = endsByAddress.get(address) ?? new Set();
         endsByAddress.set(address, ends.add(end));
         return end;
     }
 
-    /** Runs the callback when a packet of the size arrives, unless it is lost. */
+    /** Runs the callback when a packet of the size is read, unless it is lost. */
     function deliver(from: End, to: Location, bytes: number, run: () => void): void {
         if (isReachable(from.location, to)) {
-            queue.schedule(network.arrival(from.location, to, bytes, queue.now()), run);
+            queue.schedule(readAt(to, network.arrival(from.location, to, bytes, queue.now())), run);
         }
     }
 
@@ -92,9 +105,11 @@
             listen: handlers => (own.handlers = handlers),
             isOpen: () => own.isOpen,
             bufferedBytes: () => 0,
+            receivedBytes: () => own.receivedBytes,
             send: frame =>
                 deliver(own, other.location, sizeOf(frame), () => {
                     if (other.isOpen) {
+                        other.receivedBytes += frame.length;
                         other.handlers?.onFrame(frame);
                     }
                 }),
@@ -103,17 +118,6 @@
         };
     }
 
-    /** Bytes of a frame on the wire. Large ones are compressed, as by the real transport. */
-    function sizeOf(frame: Buffer): number {
-        const known = sizes.get(frame);
-        if (known !== undefined || frame.length < compressionThresholdBytes) {
-            return known ?? frame.length;
-        }
-        const size = deflateRawSync(frame, { level: compressionLevel }).length;
-        sizes.set(frame, size);
-        return size;
-    }
-
     function dial(dialer: End, address: string, path: string): PeerSocket {
         const target = listeners.get(address);
         const acceptor = createEnd(target?.location ?? dialer.location, address, false);
@@ -158,3 +162,17 @@
         },
     };
 }
+
+/** Creates a function that returns the bytes of a frame on the wire. Large ones are compressed, as by the real transport. */
+function createSizes(): (frame: Buffer) => number {
+    const sizes = new WeakMap<Buffer, number>();
+    return frame => {
+        const known = sizes.get(frame);
+        if (known !== undefined || frame.length < compressionThresholdBytes) {
+            return known ?? frame.length;
+        }
+        const size = deflateRawSync(frame, { level: compressionLevel }).length;
+        sizes.set(frame, size);
+        return size;
+    };
+}
