fix(calls): start a refused upload on the next host without waiting for its admission

An upload over 4 KiB that the entry host had received and sent, and that its backend server then refused as not run, could not be sent to another host: its next attempt counted as admitted because the first one had been. Its body is in one piece then, the end of a body waits for the admission, and the head of a hop is written with the first part of the body, so that nothing was sent.

Whether an attempt was admitted now starts anew with each one. So it also sends no more than 4 KiB to a host that may refuse it.

Seen on the request body alone; no deployment was tried.

--- a/packages/daemon/features/uploads.feature
+++ b/packages/daemon/features/uploads.feature
@@ -32,6 +32,12 @@
         When the backend servers of both hosts drain while an upload of 60000 bytes is sent over 400 ms
         Then the upload is refused as not run, and the other host received at most 8000 bytes for it
 
+    # Guards against an upload that waits in vain on the next host: the head of a hop is sent with the first part of the
+    # body, and the host admits the call only after it has read the head.
+    Scenario: An upload that a backend server of the entry host refused starts on the next host
+        Given an upload of 60000 bytes that was received and admitted on the entry host, and then refused by its backend server
+        Then its next attempt sends 4096 bytes before it is admitted, and then the rest
+
     # Guards against a link that is idle because the callers whose bodies are scheduled on it send slowly.
     Scenario: Uploads of slow callers do not delay those of others
         Given a call deployment with 1 slot and links of 8 Mbit/s whose calls run on another host
--- a/packages/daemon/src/adapters/calls/requestBody.ts
+++ b/packages/daemon/src/adapters/calls/requestBody.ts
@@ -137,6 +137,7 @@
     const { retainedChunks } = reader;
     /** The body, if it is small enough to be sent before admission and arrived completely with the head. */
     let smallBody: Buffer | undefined;
+    /** Whether the last attempt was admitted. An earlier one may have been, which a backend server then refused. */
     let committed = false;
     let hasReleasedChunks = false;
 
@@ -148,13 +149,14 @@
         smallBody = isSmall ? buffered : undefined;
     }
 
-    const isEnd = (index: number) =>
-        reader.receivedBytes === declaredBytes && index === retainedChunks.length - 1;
+    const isEnd = (chunk: Buffer) =>
+        reader.receivedBytes === declaredBytes && chunk === retainedChunks.at(-1);
 
     function open(): BodyAttempt {
         if (smallBody !== undefined) {
             return { ...emptyBodyAttempt, payload: smallBody };
         }
+        committed = false;
         /** The body, once this attempt has received all of it. */
         let completeBody: Buffer | undefined;
         let resumeSending: () => void = () => undefined;
@@ -188,7 +190,7 @@
                     }
                     continue;
                 }
-                if (declaredBytes > eagerBodyBytes && isEnd(index) && (await confirmCaller())) {
+                if (declaredBytes > eagerBodyBytes && isEnd(chunk) && (await confirmCaller())) {
                     return;
                 }
                 index += 1;
@@ -225,16 +227,14 @@
         };
     }
 
-    async function enforceSmallLimit(cancellation: Cancellation): Promise<void> {
-        if (maxBytes <= maxReplayableBodyBytes) {
-            await reader.readAll(cancellation);
-        }
-    }
-
     return {
         open,
         readBuffered,
-        enforceSmallLimit,
+        async enforceSmallLimit(cancellation) {
+            if (maxBytes <= maxReplayableBodyBytes) {
+                await reader.readAll(cancellation);
+            }
+        },
         replayable: () => !hasReleasedChunks,
         tooLarge: () => reader.receivedBytes > maxBytes,
         drop: () => discardRest(request, iterator),
