--- a/packages/daemon/src/adapters/calls/handleHop.ts
+++ b/packages/daemon/src/adapters/calls/handleHop.ts
@@ -1,4 +1,4 @@
-import { refusal, RefusalReason, type Refusal, type Service } from "@tanagertray/core";
+import { isCallerConfirmed, refusal, RefusalReason, type Refusal, type Service } from "@tanagertray/core";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Left, Right, type Either } from "purify-ts/Either";
 import { currentVersion } from "../../controllers/advertisement.js";
@@ -13,6 +13,7 @@
 import { attemptHeader, claimedAttemptId, verifyHop } from "./hopToken.js";
 import {
     CallPlace,
+    cancelIfDisconnected,
     checkAcceptingCalls,
     checkShutdownTimeLeft,
     earliestArrival,
@@ -34,6 +35,8 @@
     readonly callId: string;
 }
 
+/** Turns of the event loop that a check for a disconnected caller takes, until the end of the one in which the call is sent. */
+const turnsOfDisconnectCheck = 3;
 /** The HTTP library sends a 103 only with a link. It is not passed on. */
 const silenceHints = { link: "</>; rel=alternate" };
 const passedHeaders: ReadonlySet<string> = new Set(["tanagertray-outcome"]);
@@ -87,6 +90,9 @@
         host: head.daemonHeaders.get(entryHostHeader) ?? "",
         seenAt: arrivedAt - (call.pollAgeMs ?? 0),
     });
+    if (isCallerConfirmed(caller, readAt + turnsOfDisconnectCheck * context.arrivals.lastTurnMs())) {
+        await cancelIfDisconnected(context, cancelScope.cancellation, { request, arrivedAt });
+    }
     const { hasBody, declaredBytes } = head;
     const requestBody = await openRequestBody(context, call, request);
     const body = requestBody.open();
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -287,11 +287,15 @@
     }
 }
 
-/** Whether what is known of the caller is recent enough to send its call. This daemon reads the closes of its own callers. */
-function isUpToDate({ arrivals, now }: CallContext, caller: CallerContact | undefined): boolean {
-    return caller === undefined
-        ? pollAgeMs({ arrivals, now }) <= longTurnMs
-        : isCallerConfirmed(caller, now());
+/**
+ * Whether the call is sent without one more poll: after a short turn, or if the caller would not be confirmed after it. A
+ * further poll saves work for callers that have left.
+ */
+function isUpToDate(context: CallContext, caller: CallerContact | undefined): boolean {
+    const isTurnShort = pollAgeMs(context) <= longTurnMs;
+    return isTurnShort
+        ? caller === undefined || isCallerConfirmed(caller, context.now())
+        : wouldBeOutdated(context, caller);
 }
 
 /** Whether the caller is confirmed now, but will not be at the end of a turn as long as the last one. */
