fix(calls): await a second poll only after a long rest of the turn, as before

Since the whole turn counted for calls of own callers and for hops, so that both were sent a turn later on hosts whose turns are over 100 ms.

--- a/packages/daemon/src/adapters/calls/attempt.ts
+++ b/packages/daemon/src/adapters/calls/attempt.ts
@@ -227,7 +227,6 @@
                 statedPollAgeMs = pollAgeMs(context);
                 return [pollAgeHeader, String(statedPollAgeMs)];
             },
-            isUpToDate: () => pollAgeMs(context) <= longTurnMs,
             body: body.payload,
             cancellation: attempt.cancellation,
             timers: context.timers,
--- a/packages/daemon/src/adapters/calls/localCall.ts
+++ b/packages/daemon/src/adapters/calls/localCall.ts
@@ -18,8 +18,7 @@
 import { ResponseClass } from "./dialect.js";
 import { exchange, ExchangeEnd, type ExchangeResult } from "./exchange.js";
 import { headerValue } from "./headers.js";
-import { deadlinePassed, pollAgeMs } from "./incoming.js";
-import { longTurnMs } from "./pendingEvents.js";
+import { deadlinePassed } from "./incoming.js";
 import type { StageTimes } from "./stageTimes.js";
 import type { Timer } from "./timers.js";
 import { logUnreachable } from "./unreachable.js";
@@ -141,7 +140,7 @@
             unsentRefusal = refusal(RefusalReason.DeadlinePassed);
             return false;
         }
-        isUnconfirmed = caller !== undefined && !isCallerConfirmed(caller, now);
+        isUnconfirmed = !isConfirmed(context, caller);
         if (isUnconfirmed) {
             return false;
         }
@@ -177,7 +176,9 @@
         headIdleTimeoutMs: 0,
         mayWrite,
         onInformationalResponse: () => undefined,
-        isUpToDate: () => isUpToDate(context, caller),
+        // A further poll saves work for callers that have left, unless the caller would not be confirmed after it.
+        isUpToDate: isTurnShort =>
+            isTurnShort ? isConfirmed(context, caller) : wouldBeOutdated(context, caller),
         wouldBeOutdated: () => wouldBeOutdated(context, caller),
         onHead(status, raw) {
             silenceTimer?.cancel();
@@ -287,24 +288,14 @@
     }
 }
 
-/**
- * Whether the call is sent without one more poll: after a short turn, or if the caller would not be confirmed after it. A
- * further poll saves work for callers that have left.
- */
-function isUpToDate(context: CallContext, caller: CallerContact | undefined): boolean {
-    const isTurnShort = pollAgeMs(context) <= longTurnMs;
-    return isTurnShort
-        ? caller === undefined || isCallerConfirmed(caller, context.now())
-        : wouldBeOutdated(context, caller);
+/** Whether the caller is confirmed for some more time. This daemon reads the closes of its own callers itself. */
+function isConfirmed({ now }: CallContext, caller: CallerContact | undefined, forMs = 0): boolean {
+    return caller === undefined || isCallerConfirmed(caller, now() + forMs);
 }
 
 /** Whether the caller is confirmed now, but will not be at the end of a turn as long as the last one. */
-function wouldBeOutdated({ arrivals, now }: CallContext, caller: CallerContact | undefined): boolean {
-    return (
-        caller !== undefined &&
-        isCallerConfirmed(caller, now()) &&
-        !isCallerConfirmed(caller, now() + arrivals.lastTurnMs())
-    );
+function wouldBeOutdated(context: CallContext, caller: CallerContact | undefined): boolean {
+    return isConfirmed(context, caller) && !isConfirmed(context, caller, context.arrivals.lastTurnMs());
 }
 
 function logBackendRefusal(
--- a/packages/daemon/src/adapters/calls/pendingEvents.ts
+++ b/packages/daemon/src/adapters/calls/pendingEvents.ts
@@ -30,10 +30,10 @@
 
 export interface PendingEventsOptions {
     /**
-     * Whether what is known is still recent at the end of the turn.
-     * @default whether the rest of the turn was short
+     * Whether what is known is recent enough at the end of the turn, given whether the rest of the turn was short.
+     * @default isTurnShort => isTurnShort
      */
-    readonly isUpToDate?: () => boolean;
+    readonly isUpToDate?: (isTurnShort: boolean) => boolean;
     /**
      * Whether what is known now would be outdated at the end of the turn.
      * @default never
@@ -47,19 +47,15 @@
  * that waits for this slot, and during a long turn closes arrive that its poll did not read.
  */
 export async function waitForPendingEvents({
-    isUpToDate = createTurnCheck(),
+    isUpToDate = isTurnShort => isTurnShort,
     wouldBeOutdated = () => false,
 }: PendingEventsOptions = {}): Promise<void> {
     if (wouldBeOutdated()) {
         return;
     }
+    const startedAt = performance.now();
     await endOfTurn();
-    if (!isUpToDate()) {
+    if (!isUpToDate(performance.now() - startedAt <= longTurnMs)) {
         await endOfNextTurn();
     }
 }
-
-function createTurnCheck(): () => boolean {
-    const startedAt = performance.now();
-    return () => performance.now() - startedAt <= longTurnMs;
-}
