fix(calls): ask an entry daemon twice before its unconfirmed callers are refused

One answer may be outdated by a single long turn or pause, and the call was refused at once. After two probes the call is refused as before.

--- a/packages/daemon/src/adapters/calls/admissions.ts
+++ b/packages/daemon/src/adapters/calls/admissions.ts
@@ -66,6 +66,8 @@
 
 /** Time for which an unreachable backend server is avoided, in milliseconds. */
 const unreachableServerAvoidMs = 500;
+/** Probes of an entry daemon after which its unconfirmed callers are refused. One answer may be outdated by a long turn. */
+const maxProbes = 2;
 const noLimits: ReadonlyMap<string, ConcurrencyLimit> = new Map();
 const drainLimitReached = new Error("the backend server's drain limit was reached");
 
@@ -200,12 +202,17 @@
     return slot;
 }
 
+interface EndedProbe {
+    readonly entry: EntryContact;
+    /** Probes of this entry daemon that may follow before its unconfirmed callers are refused. */
+    readonly probesLeft: number;
+}
+
 /**
- * Assigns free slots to waiting calls, or refuses these when the service has no backend server.
- *
- * @param asked - entry daemon whose probe has ended; its callers that it has not confirmed are refused
+ * Assigns free slots to waiting calls, or refuses these when the service has no backend server. Asks the entry daemons of
+ * callers that are not confirmed, and refuses the calls of those that do not confirm them.
  */
-function assignFreeSlots(context: AdmissionContext, name: string, asked?: EntryContact): void {
+function assignFreeSlots(context: AdmissionContext, name: string, ended?: EndedProbe): void {
     const service = serviceOf(context.board, name);
     const state = context.states.get(name);
     if (service === undefined || state === undefined || state.queued === 0) {
@@ -230,13 +237,17 @@
     for (let next = admit(); next !== undefined; next = admit()) {
         settle(context, next.call, Right(next.server));
     }
-    if (asked !== undefined) {
-        unconfirmedEntries.delete(asked);
-        const unconfirmed = removeUnconfirmed(state, available, { entry: asked, now: context.now() });
-        unconfirmed.forEach(call => refuse(call, RefusalReason.CallerUnconfirmed));
-    }
     // Calls of other services that wait for the same probe are assigned at the next clock tick.
-    unconfirmedEntries.forEach(entry => context.probe(entry, () => assignFreeSlots(context, name, entry)));
+    for (const entry of unconfirmedEntries) {
+        const probesLeft = entry === ended?.entry ? ended.probesLeft : maxProbes;
+        if (probesLeft > 0) {
+            const next = { entry, probesLeft: probesLeft - 1 };
+            context.probe(entry, () => assignFreeSlots(context, name, next));
+        } else {
+            const unconfirmed = removeUnconfirmed(state, available, { entry, now: context.now() });
+            unconfirmed.forEach(call => refuse(call, RefusalReason.CallerUnconfirmed));
+        }
+    }
 }
 
 function settle(
--- a/packages/daemon/src/adapters/calls/handleHop.ts
+++ b/packages/daemon/src/adapters/calls/handleHop.ts
@@ -90,7 +90,8 @@
         host: head.daemonHeaders.get(entryHostHeader) ?? "",
         seenAt: arrivedAt - (call.pollAgeMs ?? 0),
     });
-    if (isCallerConfirmed(caller, readAt + turnsOfDisconnectCheck * context.arrivals.lastTurnMs())) {
+    const checkMs = turnsOfDisconnectCheck * context.arrivals.lastTurnMs();
+    if (isCallerConfirmed(caller, readAt + checkMs)) {
         await cancelIfDisconnected(context, cancelScope.cancellation, { request, arrivedAt });
     }
     const { hasBody, declaredBytes } = head;
